--- /dev/null
+++ b/include/wasabihook/settings.h
@@ -0,0 +1,84 @@
+#ifndef WASABIHOOK_SETTINGS_H_
+#define WASABIHOOK_SETTINGS_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "wasabihook/config.h"
+#include "wasabihook/ids.h"
+#include "wasabihook/snapshot.h"
+#include "wasabihook/units.h"
+
+namespace wasabihook {
+
+// What a search does when some shard groups are late.
+enum class CoveragePolicy : uint8_t {
+  kEarly,  // Answer at the soft deadline if the least coverage is met.
+  kWait,   // Wait for complete coverage until the deadline.
+};
+
+enum class ReplicaChoice : uint8_t {
+  kRandom,              // Baseline for experiments.
+  kLeastOutstanding,    // Least outstanding of two random replicas.
+  kLatencyOutstanding,  // (outstanding + 1) x latency estimate, of two.
+};
+
+// Settings of one team (`[team]` and below in its TOML subtree).
+struct TeamSettings {
+  TeamId team;
+  Revision revision;
+
+  // Deadlines.
+  Duration default_deadline = config::kDefaultDeadline;
+  Duration max_deadline = config::kMaxDeadline;
+  Duration soft_deadline = config::kSoftDeadline;
+
+  // Coverage.
+  CoveragePolicy coverage_policy = CoveragePolicy::kWait;
+  Fraction least_coverage = config::kLeastCoverage;
+
+  // Routing, hedging and retries.
+  ReplicaChoice replica_choice = ReplicaChoice::kLatencyOutstanding;
+  bool hedging = true;
+  // Share of sub-requests that may be hedges or retries.
+  Fraction extra_load_budget = config::kExtraLoadBudget;
+  uint32_t max_attempts = config::kMaxAttempts;
+  bool outlier_ejection = true;
+  // Sends one sub-request first and fans out after its reply.
+  bool canary = false;
+
+  // Limits.
+  bool admission_control = true;
+  // Relative share of a backend pool when teams compete.
+  uint32_t fair_share_weight = config::kFairShareWeight;
+  uint32_t max_queued = config::kMaxQueuedPerTeam;
+
+  // Operations.
+  Duration claim_retention = config::kClaimRetention;
+  Duration quarantine_expiry = config::kQuarantineExpiry;
+
+  // Service-level objectives.
+  Duration latency_objective = config::kLatencyObjective;
+  Fraction latency_target = config::kLatencyTarget;
+  Fraction coverage_target = config::kCoverageTarget;
+
+  // Index sets of the team, by id.
+  std::map<IndexSetId, SnapshotPtr> index_sets;
+};
+
+using TeamSettingsPtr = std::shared_ptr<const TeamSettings>;
+
+// Read access to the settings in force. Thread-safe.
+class SettingsView {
+ public:
+  virtual ~SettingsView() = default;
+  // Null if the team is not known.
+  virtual TeamSettingsPtr Team(const TeamId& team) const = 0;
+};
+
+}  // namespace wasabihook
+
+#endif  // WASABIHOOK_SETTINGS_H_
--- /dev/null
+++ b/tests/manual_timer_service_test.cc
@@ -0,0 +1,37 @@
+#include "testing/manual_timer_service.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace wasabihook::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Guards against callbacks that run early, late or out of order.
+TEST(ManualTimerServiceTest, RunsCallbacksInDueOrder) {
+  ManualTimerService timers;
+  std::vector<int> order;
+  timers.SubscribeOnce(milliseconds(20), [&] { order.push_back(2); });
+  timers.SubscribeOnce(milliseconds(10), [&] { order.push_back(1); });
+  timers.Advance(milliseconds(15));
+  EXPECT_EQ(order, std::vector<int>({1}));
+  timers.Advance(milliseconds(5));
+  EXPECT_EQ(order, std::vector<int>({1, 2}));
+}
+
+// Guards against a periodic timer that survives Unsubscribe().
+TEST(ManualTimerServiceTest, PeriodicTimerStopsWhenUnsubscribed) {
+  ManualTimerService timers;
+  int runs = 0;
+  TimerHandle handle = timers.SubscribeEvery(milliseconds(10), [&] { ++runs; });
+  timers.Advance(milliseconds(35));
+  EXPECT_EQ(runs, 3);
+  timers.Unsubscribe(handle);
+  timers.Advance(milliseconds(100));
+  EXPECT_EQ(runs, 3);
+}
+
+}  // namespace
+}  // namespace wasabihook::testing
