--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 build=${1:-build}
 jobs=${JOBS:-$(nproc)}
-known=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' || true)
+known=$(sed -n "s/^test: *//p" KNOWN-RED.txt 2>/dev/null | paste -sd"|" || true)
 if [ -n "$known" ]; then
   echo "Known failing tests (KNOWN-RED.txt), reported only:"
   ctest --test-dir "$build" -j "$jobs" -R "^($known)\$" || true
