--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -68,6 +68,19 @@
 inline constexpr uint32_t kRememberedChangeIds = 16;
 inline constexpr size_t kMaxSettingsBytes = 1024 * 1024;
 
+// --- Platform calls ---
+inline constexpr Duration kPlatformConnectTimeout = milliseconds(250);
+inline constexpr Duration kPlatformCallTimeout = milliseconds(2000);
+// Added to the wait of a watch, for the response to arrive.
+inline constexpr Duration kPlatformWatchGrace = seconds(2);
+// A connection that is idle for longer is not used again.
+inline constexpr Duration kPlatformIdleTimeout = seconds(5);
+inline constexpr uint32_t kMaxPlatformCalls = 4096;
+inline constexpr uint32_t kMaxPlatformConnections = 64;
+inline constexpr size_t kMaxPlatformKeyBytes = 1024;
+inline constexpr size_t kMaxPlatformValueBytes = 1024 * 1024;
+inline constexpr size_t kMaxPlatformResponseBytes = 64 * 1024 * 1024;
+
 // --- Shutdown ---
 inline constexpr Duration kDrainNotice = seconds(5);
 inline constexpr Duration kDrainLimit = seconds(60);
--- /dev/null
+++ b/src/peers/platform/curl_loop.h
@@ -0,0 +1,96 @@
+#ifndef SRC_PEERS_PLATFORM_CURL_LOOP_H_
+#define SRC_PEERS_PLATFORM_CURL_LOOP_H_
+
+#include <curl/curl.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "peers/platform/wire.h"
+#include "wasabihook/units.h"
+
+namespace wasabihook::platform {
+
+enum class TransferFate : uint8_t {
+  kResponded,
+  kNotSent,  // No byte was handed to the store.
+  kLost,     // The request may have reached the store.
+};
+
+struct TransferResult {
+  TransferFate fate = TransferFate::kNotSent;
+  WireResponse response;  // Valid for kResponded.
+  Duration elapsed{0};
+};
+
+struct Transfer {
+  std::string method;
+  std::string url;
+  std::string body;
+  Duration timeout{0};
+  // A write is never handed to a second connection.
+  bool is_write = false;
+  std::function<void(TransferResult)> done;
+};
+
+struct CurlLoopOptions {
+  Duration connect_timeout{0};
+  Duration idle_timeout{0};
+  uint32_t max_transfers = 0;
+  uint32_t max_connections = 0;
+  size_t max_response_bytes = 0;
+};
+
+// Runs HTTP transfers with one libcurl multi handle on one thread.
+class CurlLoop {
+ public:
+  // Throws std::runtime_error if libcurl cannot be set up.
+  explicit CurlLoop(CurlLoopOptions options);
+  // Ends outstanding transfers with kNotSent or kLost.
+  ~CurlLoop();
+
+  // Thread-safe; `done` is called once on the loop's thread.
+  void Start(Transfer transfer);
+
+ private:
+  struct Active;
+
+  void Run();
+  // Returns false when the loop should end.
+  bool TakeQueued();
+  void Begin(Transfer transfer);
+  void Configure(Active& active);
+  void ReapFinished();
+  void Finish(CURL* easy, CURLcode code);
+  void FinishAll();
+  bool DistrustsConnections() const;
+
+  static size_t OnBody(char* data, size_t size, size_t count, void* active);
+  static int OnRequest(void* active, char*, char*, int, int);
+  static int OnSocket(void* options, curl_socket_t socket, curlsocktype type);
+
+  const CurlLoopOptions m_options;
+  CURLM* m_multi = nullptr;
+  curl_slist* m_headers = nullptr;
+  std::map<CURL*, std::unique_ptr<Active>> m_active;
+  // Connections opened before a timeout may be silent as well. Until this time
+  // calls open new ones; by then the old ones exceed the idle timeout.
+  std::chrono::steady_clock::time_point m_distrust_until;
+
+  std::mutex m_mutex;
+  std::vector<Transfer> m_queue;
+  bool m_stopping = false;
+
+  std::thread m_thread;
+};
+
+}  // namespace wasabihook::platform
+
+#endif  // SRC_PEERS_PLATFORM_CURL_LOOP_H_
--- /dev/null
+++ b/src/peers/platform/http_platform_client.h
@@ -0,0 +1,81 @@
+#ifndef SRC_PEERS_PLATFORM_HTTP_PLATFORM_CLIENT_H_
+#define SRC_PEERS_PLATFORM_HTTP_PLATFORM_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "wasabihook/config.h"
+#include "wasabihook/platform.h"
+
+namespace wasabihook::platform {
+
+enum class CallKind : uint8_t {
+  kGet,
+  kList,
+  kWatch,
+  kWrite,
+  kDelete,
+  kListInstances,
+  kAnnounce,
+};
+std::string ToString(CallKind kind);
+// Stable name of a status, used in metrics.
+std::string ToString(StoreStatus status);
+
+struct PlatformClientOptions {
+  std::string address;  // "ip:port"
+  Duration connect_timeout = config::kPlatformConnectTimeout;
+  // For a whole call; a watch has its wait and `watch_grace` instead.
+  Duration call_timeout = config::kPlatformCallTimeout;
+  Duration watch_grace = config::kPlatformWatchGrace;
+  // A connection that is idle for longer is not used again.
+  Duration idle_timeout = config::kPlatformIdleTimeout;
+  // Further calls are answered with kUnavailable.
+  uint32_t max_calls = config::kMaxPlatformCalls;
+  uint32_t max_connections = config::kMaxPlatformConnections;
+  size_t max_response_bytes = config::kMaxPlatformResponseBytes;
+  // Called for each finished call on the client's thread; for metrics.
+  std::function<void(CallKind, StoreStatus, Duration)> on_call;
+};
+
+// Client of the platform over HTTP/1.1 with libcurl on one thread, on which
+// all callbacks run. A call that was not handed to the store gives
+// kUnavailable, one whose response was lost or timed out kUnknown. A write is
+// sent at most once, also if a reused connection turns out dead. Destruction
+// ends outstanding calls with these outcomes.
+class HttpPlatformClient : public KeyValueStore, public InstanceList {
+ public:
+  // Throws std::runtime_error if libcurl cannot be set up.
+  explicit HttpPlatformClient(PlatformClientOptions options);
+  ~HttpPlatformClient() override;
+
+  void Get(std::string key, std::function<void(GetResult)> done) override;
+  void List(std::string prefix,
+            std::optional<Revision> newer_than,
+            Duration wait,
+            std::function<void(ListResult)> done) override;
+  // Throws std::invalid_argument if `value` is not valid UTF-8.
+  void CompareAndSwap(std::string key,
+                      Revision expected,
+                      std::string value,
+                      std::function<void(WriteResult)> done) override;
+  void Delete(std::string key,
+              Revision expected,
+              std::function<void(WriteResult)> done) override;
+  void ListInstances(std::function<void(InstanceListResult)> done) override;
+  void Announce(ListedInstance self,
+                std::function<void(StoreStatus)> done) override;
+
+  // Calls since the start with this kind and status.
+  uint64_t Count(CallKind kind, StoreStatus status) const;
+
+ private:
+  class Loop;
+  const std::unique_ptr<Loop> m_loop;
+};
+
+}  // namespace wasabihook::platform
+
+#endif  // SRC_PEERS_PLATFORM_HTTP_PLATFORM_CLIENT_H_
