Add the claim store with one key per claim

Operations run at most once: a claim is created by compare-and-swap, an unclear write is settled by reading it back, and one that missed its deadline is withdrawn in the background. An unclear write may still arrive after the read back, so the withdrawal occupies the key with a not_run record. OperationOutcome gains rows_dropped for rows that are too large to be kept.

--- a/include/wasabihook/claim_store.h
+++ b/include/wasabihook/claim_store.h
@@ -21,6 +21,8 @@
 struct OperationOutcome {
   RunState run_state = RunState::kUnknown;
   std::vector<std::string> rows;
+  // The rows were too large to be kept; `rows` is empty.
+  bool rows_dropped = false;
   SnapshotId snapshot;
 };
 
--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -54,6 +54,19 @@
 inline constexpr Duration kClaimRetention = hours(24);
 inline constexpr Duration kClockMargin = minutes(5);
 inline constexpr Duration kQuarantineExpiry = minutes(10);
+// Delay before an unclear claim write is read back again.
+inline constexpr Duration kClaimRetryBaseDelay = milliseconds(5);
+inline constexpr Duration kClaimRetryMaxDelay = milliseconds(100);
+// Delay before outcomes and withdrawals are tried again.
+inline constexpr Duration kClaimFinishBaseDelay = milliseconds(20);
+inline constexpr Duration kClaimFinishMaxDelay = seconds(10);
+inline constexpr uint32_t kMaxClaimFinishAttempts = 4096;
+inline constexpr uint32_t kMaxClaimFinishesInFlight = 16;
+inline constexpr size_t kMaxUnfinishedClaims = 10'000;
+// Rows beyond this are not kept with a claim.
+inline constexpr size_t kMaxRecordedOutcomeBytes = size_t{16} * 1024;
+// Key ranges of a team's claims; the cleaner lists one range at a time.
+inline constexpr uint32_t kClaimBuckets = 4096;
 
 // --- Service-level objectives ---
 inline constexpr Duration kLatencyObjective = milliseconds(82);
@@ -78,8 +91,8 @@
 inline constexpr uint32_t kMaxPlatformCalls = 4096;
 inline constexpr uint32_t kMaxPlatformConnections = 64;
 inline constexpr size_t kMaxPlatformKeyBytes = 1024;
-inline constexpr size_t kMaxPlatformValueBytes = 1024 * 1024;
-inline constexpr size_t kMaxPlatformResponseBytes = 64 * 1024 * 1024;
+inline constexpr size_t kMaxPlatformValueBytes = size_t{1024} * 1024;
+inline constexpr size_t kMaxPlatformResponseBytes = size_t{64} * 1024 * 1024;
 
 // --- Shutdown ---
 inline constexpr Duration kDrainNotice = seconds(5);
--- /dev/null
+++ b/src/decision/operations/claim_store.h
@@ -0,0 +1,58 @@
+#ifndef SRC_DECISION_OPERATIONS_CLAIM_STORE_H_
+#define SRC_DECISION_OPERATIONS_CLAIM_STORE_H_
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+#include "decision/operations/claim_context.h"
+#include "decision/operations/claim_finisher.h"
+#include "decision/operations/claim_record.h"
+#include "wasabihook/claim_store.h"
+
+namespace wasabihook {
+
+// Claims with one key each in the platform. docs/decisions/operation-claims.md
+// gives the reasons.
+class KeyValueClaimStore : public ClaimStore {
+ public:
+  explicit KeyValueClaimStore(ClaimStoreDeps deps);
+
+  void Claim(ClaimKey key,
+             Fingerprint fingerprint,
+             TimePoint deadline,
+             std::function<void(ClaimResult)> done) override;
+  void Record(ClaimKey key,
+              std::string nonce,
+              OperationOutcome outcome) override;
+
+  // Outcomes and withdrawals that are not stored yet.
+  size_t unfinished() const;
+
+ private:
+  class Attempt;
+  // A granted claim as it was written.
+  struct Grant {
+    ClaimRecord record;
+    Revision revision;
+  };
+  // Shared with attempts, which may outlive the store.
+  struct Shared {
+    explicit Shared(ClaimStoreDeps d);
+    const ClaimStoreDeps deps;
+    const std::shared_ptr<ClaimFinisher> finisher;
+    std::mutex mutex;
+    std::unordered_map<std::string, Grant> grants;
+  };
+
+  std::string MakeNonce();
+
+  const std::shared_ptr<Shared> m_shared;
+  std::atomic<uint64_t> m_next_nonce{1};
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_DECISION_OPERATIONS_CLAIM_STORE_H_
