Add the query tier's decision logic

Searches, fetches and operations run as state machines in shards, each under its own lock; an event returns actions that run after the lock is released. Public additions: DroppedReplies and QueryTier::dropped_replies(), and the query engine's defaults in config.h. Not yet covered by tests.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -36,6 +36,20 @@
 inline constexpr Duration kRetryBaseDelay = milliseconds(2);
 inline constexpr Duration kRetryMaxDelay = milliseconds(50);
 
+// --- Query engine ---
+// Wait before another try when no server of a group can take work, if no
+// release of one comes first.
+inline constexpr Duration kCapacityRetryDelay = milliseconds(5);
+// Sub-requests that may wait for one server; more only poll.
+inline constexpr size_t kMaxCapacityWaiters = 1024;
+// How often and how long a query looks for a newer snapshot when no replica of
+// a group serves the pinned one.
+inline constexpr Duration kSnapshotPollDelay = milliseconds(5);
+inline constexpr Duration kSnapshotPollLimit = milliseconds(250);
+inline constexpr uint32_t kMaxSnapshotRestarts = 2;
+// An operation with less time left is not dispatched.
+inline constexpr Duration kMinOperationTime = milliseconds(5);
+
 // --- Limits ---
 inline constexpr uint32_t kFairShareWeight = 1;
 inline constexpr uint32_t kMaxQueuedPerTeam = 256;
--- a/include/wasabihook/query_tier.h
+++ b/include/wasabihook/query_tier.h
@@ -42,6 +42,14 @@
   std::optional<ServerId> slowest_server;
 };
 
+// Replies of backend servers that were dropped.
+struct DroppedReplies {
+  uint64_t late = 0;       // The sub-query was settled by another reply.
+  uint64_t duplicate = 0;  // Second reply to one sub-request.
+  uint64_t foreign = 0;    // Carries the id of another sub-request.
+  uint64_t invalid = 0;    // Wrong snapshot or number of records searched.
+};
+
 // Collaborators of a QueryTier. All outlive it.
 struct QueryTierDeps {
   TimerService* timers = nullptr;
@@ -56,7 +64,7 @@
   RandomSource random;
   // Prefix of sub-request ids; unique over instances and restarts.
   std::string id_prefix;
-  // Called once for each finished request.
+  // Called once for each answered request; not for one whose caller went away.
   std::function<void(const RequestOutcome&)> on_outcome;
 };
 
@@ -74,6 +82,7 @@
   // request is in flight.
   virtual void Drain(std::function<void()> drained) = 0;
   virtual size_t in_flight() const = 0;
+  virtual DroppedReplies dropped_replies() const { return {}; }
 
   static std::unique_ptr<QueryTier> Create(QueryTierDeps deps);
 };
--- /dev/null
+++ b/src/decision/query/in_flight_bodies.h
@@ -0,0 +1,42 @@
+#ifndef SRC_DECISION_QUERY_IN_FLIGHT_BODIES_H_
+#define SRC_DECISION_QUERY_IN_FLIGHT_BODIES_H_
+
+#include <array>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include "wasabihook/config.h"
+#include "wasabihook/ids.h"
+#include "wasabihook/quarantine.h"
+
+namespace wasabihook {
+
+// Request bodies that this instance has in flight on each server: the evidence
+// when the server crashes. In shards by server; thread-safe.
+class InFlightBodies {
+ public:
+  void Add(const ServerId& server,
+           const SubRequestId& id,
+           const QuarantineEntry& body);
+  void Remove(const ServerId& server, const SubRequestId& id);
+  std::vector<QuarantineEntry> On(const ServerId& server) const;
+
+ private:
+  struct Shard {
+    mutable std::mutex mutex;
+    std::unordered_map<ServerId,
+                       std::unordered_map<SubRequestId, QuarantineEntry>>
+        bodies;
+  };
+
+  size_t IndexOf(const ServerId& server) const {
+    return std::hash<ServerId>{}(server) % m_shards.size();
+  }
+
+  std::array<Shard, config::kStateShards> m_shards;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_DECISION_QUERY_IN_FLIGHT_BODIES_H_
--- /dev/null
+++ b/src/decision/query/query.h
@@ -0,0 +1,125 @@
+#ifndef SRC_DECISION_QUERY_QUERY_H_
+#define SRC_DECISION_QUERY_QUERY_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "decision/query/coverage_count.h"
+#include "decision/query/finish_policy.h"
+#include "decision/query/query_part.h"
+#include "decision/query/request_run.h"
+#include "decision/query/run_evidence.h"
+
+namespace wasabihook {
+
+// State machine of one search or fetch: pins one snapshot, asks one replica of
+// each shard group, hedges and retries within the budget, restarts as a whole
+// on a newer snapshot, and finishes by its policy.
+class Query : public RequestRun {
+ public:
+  Query(EngineContext* context, RunInput input);
+
+  bool OnReply(const Attempt& attempt,
+               SubReply reply,
+               TimePoint now,
+               Actions& actions) override;
+  void OnWake(TimePoint now, Actions& actions) override;
+  bool OnCapacity(uint64_t ticket, TimePoint now, Actions& actions) override;
+  void OnCancel(Actions& actions) override;
+  TimePoint NextWake() const override;
+
+ protected:
+  void Start(TimePoint now, Actions& actions) override;
+
+ private:
+  // Earliest first; entries whose part has another wake time by now are stale.
+  using Wake = std::pair<TimePoint, size_t>;
+  using WakeQueue =
+      std::priority_queue<Wake, std::vector<Wake>, std::greater<>>;
+
+  const ShardGroup& GroupOf(const QueryPart& part) const {
+    return m_snapshot->groups[part.destination.group];
+  }
+
+  // Plan and fan-out.
+  void StartEpoch(SnapshotPtr snapshot, TimePoint now, Actions& actions);
+  void FanOut(TimePoint now, Actions& actions);
+  void StartNextCanary(TimePoint now, Actions& actions);
+  // True if a suspect body must not be sent to this part's group.
+  bool MustSpare(size_t index) const;
+  void SparePart(size_t index);
+
+  // Attempts of one part.
+  void NextAttempt(size_t index, TimePoint now, Actions& actions);
+  bool SendAttempt(size_t index,
+                   const std::vector<ServerId>& excluded,
+                   TimePoint now,
+                   Actions& actions);
+  void Hedge(size_t index, TimePoint now, Actions& actions);
+  void ScheduleHedge(size_t index, TimePoint now);
+  void WaitForCapacity(size_t index, TimePoint now);
+  void StopWaiting(QueryPart& part);
+  void WakePart(size_t index, TimePoint now, Actions& actions);
+  void SetWake(size_t index, TimePoint at);
+
+  // Replies of one part.
+  void OnPartAnswered(size_t index,
+                      const Attempt& attempt,
+                      SubReply reply,
+                      TimePoint now,
+                      Actions& actions);
+  void OnPartRefused(size_t index,
+                     const Attempt& attempt,
+                     const SubReply& reply,
+                     TimePoint now,
+                     Actions& actions);
+  void ScheduleRetry(size_t index,
+                     const SubReply& reply,
+                     TimePoint now,
+                     Actions& actions);
+  void OnNoReplica(size_t index, TimePoint now, Actions& actions);
+  void FailPart(size_t index, TimePoint now, Actions& actions);
+
+  // End of the query.
+  void MaybeFinish(TimePoint now, Actions& actions);
+  void Answered(TimePoint now, Actions& actions);
+  void Failed(TimePoint now, Actions& actions);
+  ErrorCode FailureCode(TimePoint now) const;
+  void CollectMissing(TimePoint now);
+  void NoteLatency(const Attempt& attempt, TimePoint now);
+  void CancelOutstanding(Actions& actions);
+  void Close(Actions& actions);
+
+  bool IsSuspect();
+  TimePoint SoftDeadline() const;
+
+  SnapshotPtr m_snapshot;
+  uint32_t m_epoch = 0;
+  uint32_t m_restarts = 0;
+  std::optional<TimePoint> m_snapshot_poll_end;
+
+  std::vector<QueryPart> m_parts;
+  WakeQueue m_wakes;
+  CoverageCount m_coverage;
+  size_t m_settled = 0;
+  // Parts below this index were started or are spared.
+  size_t m_next_unsent = 0;
+  bool m_fanned_out = false;
+  bool m_soft_deadline_passed = false;
+
+  // The body may crash servers: no hedge, no retry, last servers spared.
+  bool m_suspect = false;
+  bool m_spared = false;
+  bool m_no_replica = false;
+  RunEvidence m_evidence;
+  Duration m_slowest{0};
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_DECISION_QUERY_QUERY_H_
--- /dev/null
+++ b/src/decision/query/query_attempts.cc
@@ -0,0 +1,120 @@
+// Attempts of one part of a query: first sends, retries, hedges and the wait
+// for capacity.
+
+#include <algorithm>
+
+#include "decision/query/query.h"
+#include "decision/routing/retry_budget.h"
+#include "wasabihook/config.h"
+
+namespace wasabihook {
+
+void Query::NextAttempt(size_t index, TimePoint now, Actions& actions) {
+  QueryPart& part = m_parts[index];
+  StopWaiting(part);
+  const ShardGroup& group = GroupOf(part);
+  std::vector<ServerId> excluded = part.unable;
+  excluded.insert(excluded.end(), part.tried.begin(), part.tried.end());
+  if (CoversAllServers(group, excluded)) {
+    part.tried.clear();
+    excluded = part.unable;
+  }
+  // The body may have crashed a server while this part waited.
+  if (part.state != PartState::kUnsent && IsSuspect() &&
+      (part.charge_next || MustSpare(index))) {
+    m_spared = true;
+    FailPart(index, now, actions);
+    return;
+  }
+  RetryBudget& budget = *m_context->deps.retry_budget;
+  const TeamId& team = m_input.request.team;
+  if (part.charge_next && !budget.TrySpend(team)) {
+    part.state = PartState::kBackingOff;
+    SetWake(index, now + config::kRetryMaxDelay);
+    return;
+  }
+  const bool first = part.attempts == 0 && !part.charge_next;
+  if (SendAttempt(index, excluded, now, actions) ||
+      (!part.tried.empty() && SendAttempt(index, part.unable, now, actions))) {
+    if (first && part.unable.empty()) {
+      budget.OnFirstAttempt(team, m_input.settings->extra_load_budget);
+    }
+    return;
+  }
+  if (part.charge_next) {
+    budget.Refund(team);
+  }
+  WaitForCapacity(index, now);
+}
+
+bool Query::SendAttempt(size_t index,
+                        const std::vector<ServerId>& excluded,
+                        TimePoint now,
+                        Actions& actions) {
+  QueryPart& part = m_parts[index];
+  AttemptPtr attempt = Send(*m_snapshot, GroupOf(part), excluded, now, actions);
+  if (!attempt) {
+    return false;
+  }
+  attempt->epoch = m_epoch;
+  attempt->part = index;
+  m_evidence.OnSent();
+  part.outstanding.push_back(std::move(attempt));
+  ++part.attempts;
+  part.state = PartState::kAsking;
+  part.wake_at.reset();
+  ScheduleHedge(index, now);
+  return true;
+}
+
+void Query::ScheduleHedge(size_t index, TimePoint now) {
+  QueryPart& part = m_parts[index];
+  const TeamSettings& settings = *m_input.settings;
+  if (!settings.hedging || m_suspect || part.outstanding.size() != 1 ||
+      part.attempts >= settings.max_attempts ||
+      GroupOf(part).servers.size() < 2) {
+    return;
+  }
+  const Duration delay = m_context->deps.hedging->DelayFor(
+      part.outstanding.front()->group, part.overloaded);
+  if (delay < m_input.deadline - now) {
+    SetWake(index, now + std::max(delay, config::kMinHedgeDelay));
+  }
+}
+
+void Query::Hedge(size_t index, TimePoint now, Actions& actions) {
+  QueryPart& part = m_parts[index];
+  if (part.outstanding.size() != 1 || IsSuspect()) {
+    return;
+  }
+  RetryBudget& budget = *m_context->deps.retry_budget;
+  if (!budget.TrySpend(m_input.request.team)) {
+    ScheduleHedge(index, now);
+    return;
+  }
+  std::vector<ServerId> excluded = part.unable;
+  excluded.insert(excluded.end(), part.tried.begin(), part.tried.end());
+  excluded.push_back(part.outstanding.front()->server);
+  if (!SendAttempt(index, excluded, now, actions)) {
+    budget.Refund(m_input.request.team);
+    ScheduleHedge(index, now);
+  }
+}
+
+void Query::WaitForCapacity(size_t index, TimePoint now) {
+  QueryPart& part = m_parts[index];
+  m_saw_overload = true;
+  part.overloaded = true;
+  part.state = PartState::kNoCapacity;
+  part.ticket = m_context->waiters.Add(GroupOf(part), m_input.handle);
+  SetWake(index, now + config::kCapacityRetryDelay);
+}
+
+void Query::StopWaiting(QueryPart& part) {
+  if (part.ticket) {
+    m_context->waiters.Remove(GroupOf(part), *part.ticket);
+    part.ticket.reset();
+  }
+}
+
+}  // namespace wasabihook
