Add rendezvous hashing over strings

Watchers and owners of servers are selected by every instance on its own, so all must agree and a change of members must move few keys. RendezvousTopK ranks candidates by XXH64 of their name, seeded with the hash of the key.

--- /dev/null
+++ b/src/decision/routing/rendezvous.h
@@ -0,0 +1,25 @@
+#ifndef SRC_DECISION_ROUTING_RENDEZVOUS_H_
+#define SRC_DECISION_ROUTING_RENDEZVOUS_H_
+
+// Rendezvous (highest random weight) hashing with XXH64. Every instance that
+// has the same candidates chooses the same winners, and a candidate that joins
+// or leaves moves only the keys that it wins or won.
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wasabihook {
+
+// Indices into `candidates` of the `k` winners for `key`, best first; all of
+// them if there are fewer than `k`. Does not depend on the order of
+// `candidates`, which must be distinct.
+std::vector<size_t> RendezvousTopK(std::string_view key,
+                                   std::span<const std::string> candidates,
+                                   size_t k);
+
+}  // namespace wasabihook
+
+#endif  // SRC_DECISION_ROUTING_RENDEZVOUS_H_
