Add server table, hedge policy, retry budget and admission control

First working version of the routing decisions. The server table combines replica choice, an adaptive limit per server, ejection of outliers, drain marks and slow start.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -35,20 +35,95 @@
 inline constexpr Duration kMinHedgeDelay = milliseconds(2);
 inline constexpr Duration kRetryBaseDelay = milliseconds(2);
 inline constexpr Duration kRetryMaxDelay = milliseconds(50);
+// A hedge is sent when this share of recent replies of the group came sooner.
+inline constexpr Fraction kHedgeQuantile{0.95};
+// Hedges wait at least this multiple of the median, so that a group with
+// little variance does not spend its budget on replies that are about to come.
+inline constexpr double kHedgeMedianFactor = 1.5;
+// Median over its long-term value from which a group counts as overloaded as a
+// whole; a hedge would then only lengthen the queues.
+inline constexpr double kHedgeOverloadFactor = 3.0;
+// Replies of a group before its learned delay replaces the initial one.
+inline constexpr uint32_t kHedgeMinReplies = 20;
+// Replies after which older ones count half.
+inline constexpr uint32_t kHedgeWindowReplies = 200;
+// Shard groups whose latency is remembered, over all teams.
+inline constexpr size_t kMaxHedgeGroups = 65536;
+// Tokens a team may save up; bounds a burst of hedges and retries.
+inline constexpr double kRetryBudgetCap = 50.0;
+// Tokens a new team starts with and that hedges leave for retries.
+inline constexpr double kRetryReserve = 5.0;
 
 // --- Limits ---
 inline constexpr uint32_t kFairShareWeight = 1;
 inline constexpr uint32_t kMaxQueuedPerTeam = 256;
+// Requests that wait at a server beyond its slots, over all instances.
+inline constexpr uint32_t kServerQueue = 2;
+// Latency over the server's own baseline from which its limit shrinks.
+inline constexpr double kLimitLatencyFactor = 2.5;
+inline constexpr double kLimitDecrease = 0.7;
+// Time for which a server that refused for overload is avoided, if it named
+// none itself, and the longest time that it may name.
+inline constexpr Duration kOverloadBackoff = milliseconds(5);
+inline constexpr Duration kMaxOverloadBackoff = seconds(1);
+
+// --- Admission ---
+// Capacity of a pool until it is set, in whole requests.
+inline constexpr uint32_t kInitialPoolCapacity = 64;
+inline constexpr double kAdmissionDecrease = 0.9;
+// Latency over the pool's baseline from which its limit shrinks.
+inline constexpr double kAdmissionLatencyFactor = 2.0;
+// A queue whose oldest request has waited longer than the target for a whole
+// interval serves the newest request first.
+inline constexpr Duration kQueueTarget = milliseconds(10);
+inline constexpr Duration kQueueInterval = milliseconds(100);
+
+// --- Replica choice ---
+// Time in which a latency estimate without new replies halves, so that a slow
+// server is tried again.
+inline constexpr Duration kLatencyHalfLife = seconds(5);
+inline constexpr Duration kMinLatencyEstimate = std::chrono::microseconds(100);
+// Weight of load that a server reports against load that this instance knows.
+inline constexpr double kLoadHintWeight = 0.3;
+// Time in which the weight of a reported load halves.
+inline constexpr Duration kLoadHintHalfLife = milliseconds(50);
+// Servers that no snapshot has listed for this time are forgotten.
+inline constexpr Duration kServerRetention = minutes(10);
+inline constexpr Duration kServerSweepPeriod = seconds(30);
 
 // --- Backend connections ---
 inline constexpr Duration kConnectTimeout = milliseconds(250);
 inline constexpr Duration kBackendIdleTimeout = seconds(60);
 inline constexpr size_t kMaxBackendReplyBytes = 8 * 1024 * 1024;
+// Share of a server's connections kept free for instances that arrive before
+// those they replace have closed theirs.
+inline constexpr Fraction kConnectionReserve{0.25};
 
 // --- Outlier ejection ---
 inline constexpr Fraction kMaxEjectedFraction{0.5};
 inline constexpr Duration kBaseEjection = seconds(2);
 inline constexpr Duration kSlowStart = seconds(5);
+inline constexpr Duration kMaxEjection = seconds(60);
+// Ejection times vary by this share, so that instances do not probe at once.
+inline constexpr Fraction kEjectionJitter{0.25};
+// Healthy time after which earlier ejections no longer lengthen the next.
+inline constexpr Duration kEjectionMemory = minutes(5);
+inline constexpr uint32_t kConsecutiveFailures = 5;
+inline constexpr uint32_t kConsecutiveConnectFailures = 3;
+// A server is an outlier if its latency exceeds the median of its peers by this
+// factor and is at least the floor.
+inline constexpr double kOutlierLatencyFactor = 5.0;
+inline constexpr Duration kOutlierLatencyFloor = milliseconds(20);
+inline constexpr uint32_t kOutlierMinReplies = 10;
+// Share of its usual load that a cold server gets first.
+inline constexpr Fraction kSlowStartShare{0.1};
+
+// --- Drain marks of servers; each is renewed while its source repeats it ---
+inline constexpr Duration kDrainMark = seconds(60);
+// Short, so that instances do not keep each other's marks alive.
+inline constexpr Duration kPeerDrainMark = seconds(10);
+// For a server that still answers but reports that it is draining.
+inline constexpr Duration kDrainHintMark = seconds(10);
 
 // --- Operations ---
 inline constexpr Duration kClaimRetention = hours(24);
--- a/include/wasabihook/server_table.h
+++ b/include/wasabihook/server_table.h
@@ -15,6 +15,8 @@
 
 namespace wasabihook {
 
+enum class DrainSource : uint8_t { kServer, kPlatform, kPeer, kSettings };
+
 // How the replica of one sub-request is chosen.
 struct RoutingPolicy {
   ReplicaChoice choice = ReplicaChoice::kLatencyOutstanding;
@@ -22,8 +24,6 @@
   bool concurrency_limits = true;
 };
 
-enum class DrainSource : uint8_t { kServer, kPlatform, kPeer, kSettings };
-
 // What this instance knows of one backend server.
 struct ServerStatus {
   ServerId id;
@@ -33,6 +33,12 @@
   bool ejected = false;
   bool draining = false;
   bool slow_start = false;
+  // Who reported the drain in force. Only marks that did not come from a peer
+  // are passed on to peers; otherwise peers would keep them alive for ever.
+  std::optional<DrainSource> drain_source;
+  // Time until an ejected server is probed; 0 if it is due or under way.
+  Duration ejection_left{0};
+  uint32_t consecutive_failures = 0;
 };
 
 // State of every backend server as this instance observes it, in shards by
@@ -52,7 +58,10 @@
   virtual void Release(const ServerId& server,
                        const SubReply& reply,
                        Duration latency) = 0;
+  // `server` gets no new work. The mark expires unless it is renewed.
   virtual void MarkDraining(const ServerId& server, DrainSource source) = 0;
+  // `server` is listed or reports itself as serving again.
+  virtual void ClearDraining(const ServerId& server) { (void)server; }
   // Number of live instances that share the servers' connections and slots.
   virtual void SetLiveInstances(uint32_t count) = 0;
   virtual std::vector<ServerStatus> Status() const = 0;
--- /dev/null
+++ b/src/decision/routing/admission_controller.cc
@@ -0,0 +1,115 @@
+#include "decision/routing/admission_controller.h"
+
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include "decision/routing/admission_pool.h"
+
+namespace wasabihook {
+namespace {
+
+// A pool under its own lock. Kept alive by timers that wait for it.
+struct LockedPool {
+  std::mutex mutex;
+  AdmissionPool pool;
+};
+using LockedPoolPtr = std::shared_ptr<LockedPool>;
+
+void Report(const AdmissionDecisions& decisions) {
+  for (const auto& [done, result] : decisions) {
+    done(result);
+  }
+}
+
+class PooledAdmissionController : public AdmissionController {
+ public:
+  explicit PooledAdmissionController(TimerService* timers) : m_timers(timers) {}
+
+  void Request(AdmissionRequest request, Callback done) override {
+    LockedPoolPtr pool = PoolOf(request.pool);
+    const TeamId team = request.team;
+    const TimePoint now = m_timers->Now();
+    AdmissionDecisions decisions;
+    std::optional<AdmissionPool::Queued> queued;
+    {
+      std::lock_guard lock(pool->mutex);
+      queued = pool->pool.Request(std::move(request), std::move(done), now,
+                                  &decisions);
+    }
+    if (queued) {
+      ExpireAt(pool, team, *queued, now);
+    }
+    Report(decisions);
+  }
+
+  void Release(const TeamId& team,
+               const IndexSetId& pool_id,
+               Duration latency,
+               bool overloaded) override {
+    LockedPoolPtr pool = PoolOf(pool_id);
+    const TimePoint now = m_timers->Now();
+    AdmissionDecisions decisions;
+    {
+      std::lock_guard lock(pool->mutex);
+      pool->pool.Release(team, latency, overloaded, now, &decisions);
+    }
+    Report(decisions);
+  }
+
+  void SetPoolCapacity(const IndexSetId& pool_id, uint32_t requests) override {
+    LockedPoolPtr pool = PoolOf(pool_id);
+    const TimePoint now = m_timers->Now();
+    AdmissionDecisions decisions;
+    {
+      std::lock_guard lock(pool->mutex);
+      pool->pool.SetCapacity(requests, now, &decisions);
+    }
+    Report(decisions);
+  }
+
+ private:
+  LockedPoolPtr PoolOf(const IndexSetId& id) {
+    std::lock_guard lock(m_mutex);
+    LockedPoolPtr& pool = m_pools[id];
+    if (pool == nullptr) {
+      pool = std::make_shared<LockedPool>();
+    }
+    return pool;
+  }
+
+  // Refuses the request at the latest time at which it could start. A request
+  // that was served before then is not found any more.
+  void ExpireAt(const LockedPoolPtr& pool,
+                const TeamId& team,
+                const AdmissionPool::Queued& queued,
+                TimePoint now) {
+    m_timers->SubscribeOnce(
+        queued.latest_start - now,
+        [weak = std::weak_ptr(pool), team, ticket = queued.ticket] {
+          LockedPoolPtr pool = weak.lock();
+          if (pool == nullptr) {
+            return;
+          }
+          AdmissionDecisions decisions;
+          {
+            std::lock_guard lock(pool->mutex);
+            pool->pool.Expire(team, ticket, &decisions);
+          }
+          Report(decisions);
+        });
+  }
+
+  TimerService* m_timers;
+  std::mutex m_mutex;
+  std::map<IndexSetId, LockedPoolPtr> m_pools;
+};
+
+}  // namespace
+
+std::unique_ptr<AdmissionController> AdmissionController::Create(
+    TimerService* timers) {
+  return std::make_unique<PooledAdmissionController>(timers);
+}
+
+}  // namespace wasabihook
--- /dev/null
+++ b/src/decision/routing/admission_pool.h
@@ -0,0 +1,97 @@
+#ifndef SRC_DECISION_ROUTING_ADMISSION_POOL_H_
+#define SRC_DECISION_ROUTING_ADMISSION_POOL_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "decision/routing/admission_controller.h"
+#include "decision/routing/service_time.h"
+#include "wasabihook/config.h"
+
+namespace wasabihook {
+
+// A decision to be reported once no lock is held.
+struct AdmissionDecision {
+  AdmissionController::Callback done;
+  AdmissionResult result = AdmissionResult::kAdmitted;
+};
+using AdmissionDecisions = std::vector<AdmissionDecision>;
+
+// Admission of one pool: an adaptive limit, a bounded queue for each team and
+// weighted fair sharing between them. Not thread-safe; the caller locks it and
+// passes the time.
+class AdmissionPool {
+ public:
+  // Result of Request(): set if the request was queued.
+  struct Queued {
+    uint64_t ticket = 0;
+    // Latest time at which the request can start and still finish in time.
+    TimePoint latest_start;
+  };
+
+  std::optional<Queued> Request(AdmissionRequest request,
+                                AdmissionController::Callback done,
+                                TimePoint now,
+                                AdmissionDecisions* decisions);
+  void Release(const TeamId& team,
+               Duration latency,
+               bool overloaded,
+               TimePoint now,
+               AdmissionDecisions* decisions);
+  void SetCapacity(uint32_t requests,
+                   TimePoint now,
+                   AdmissionDecisions* decisions);
+  // Refuses the queued request `ticket` if it still waits.
+  void Expire(const TeamId& team,
+              uint64_t ticket,
+              AdmissionDecisions* decisions);
+
+  uint32_t running() const { return m_running; }
+  uint32_t limit() const;
+
+ private:
+  struct Waiting {
+    uint64_t ticket = 0;
+    TimePoint since;
+    TimePoint deadline;
+    AdmissionController::Callback done;
+  };
+  struct Team {
+    double weight = 1;
+    uint32_t running = 0;
+    std::deque<Waiting> queue;
+    // Service received per weight, in microseconds (start-time fair queueing).
+    double virtual_time = 0;
+    // Service charged in advance for running requests.
+    double charged = 0;
+    // Last time at which the oldest request had waited less than the target.
+    TimePoint last_short_wait;
+  };
+
+  Team& Activate(const AdmissionRequest& request, TimePoint now);
+  Duration EstimatedWait(const Team& team, TimePoint now) const;
+  bool IsStanding(const Team& team, TimePoint now) const;
+  void Start(Team& team);
+  void Settle(Team& team, Duration latency);
+  void Adapt(Duration latency, bool overloaded, TimePoint now);
+  void Dispatch(TimePoint now, AdmissionDecisions* decisions);
+  Team* NextTeam();
+  Waiting Pop(Team& team, TimePoint now);
+
+  std::map<TeamId, Team> m_teams;
+  ServiceTime m_service;
+  uint32_t m_running = 0;
+  uint64_t m_next_ticket = 1;
+  double m_virtual_time = 0;
+  double m_capacity = config::kInitialPoolCapacity;
+  double m_limit = config::kInitialPoolCapacity;
+  TimePoint m_last_decrease;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_DECISION_ROUTING_ADMISSION_POOL_H_
--- /dev/null
+++ b/src/decision/routing/concurrency_limit.h
@@ -0,0 +1,39 @@
+#ifndef SRC_DECISION_ROUTING_CONCURRENCY_LIMIT_H_
+#define SRC_DECISION_ROUTING_CONCURRENCY_LIMIT_H_
+
+#include <cstdint>
+
+#include "wasabihook/units.h"
+
+namespace wasabihook {
+
+// Sub-requests that this instance may have outstanding on one server: grows by
+// one per round while it is reached and latency is flat, shrinks on refusals
+// and on latency well above the server's own baseline. At least 1 and at most
+// the server's slots plus a short queue. Not thread-safe.
+class ConcurrencyLimit {
+ public:
+  // Adopts the server's slots and the number of live instances. Until the first
+  // observation the limit is this instance's share of the slots.
+  void Configure(uint32_t slots, uint32_t live_instances);
+  // `outstanding` counts the finished sub-request too.
+  void OnSuccess(Duration latency, uint32_t outstanding, TimePoint now);
+  void OnRefused(TimePoint now);
+  uint32_t value() const;
+
+ private:
+  void Decrease(TimePoint now);
+
+  uint32_t m_slots = 0;
+  uint32_t m_live_instances = 0;
+  bool m_learned = false;
+  double m_limit = 1;
+  // Microseconds; the baseline follows falls quickly and rises slowly.
+  double m_baseline = 0;
+  double m_recent = 0;
+  TimePoint m_last_decrease;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_DECISION_ROUTING_CONCURRENCY_LIMIT_H_
--- /dev/null
+++ b/src/decision/routing/drain_mark.cc
@@ -0,0 +1,50 @@
+#include "decision/routing/drain_mark.h"
+
+#include <algorithm>
+
+#include "wasabihook/config.h"
+
+namespace wasabihook {
+
+void DrainMark::Set(DrainSource source, TimePoint now) {
+  const TimePoint until =
+      now + (source == DrainSource::kPeer ? Duration(config::kPeerDrainMark)
+                                          : Duration(config::kDrainMark));
+  // A peer's mark neither shortens nor takes over one learned at first hand.
+  if (!IsDraining(now) || source != DrainSource::kPeer) {
+    m_source = source;
+  }
+  m_until = m_until ? std::max(*m_until, until) : until;
+  m_was_draining = true;
+}
+
+void DrainMark::SetHint(bool draining, TimePoint now) {
+  if (draining) {
+    m_hint_until = now + Duration(config::kDrainHintMark);
+  } else {
+    m_hint_until.reset();
+  }
+}
+
+void DrainMark::Clear() {
+  m_until.reset();
+  m_hint_until.reset();
+}
+
+bool DrainMark::TakeReturned(TimePoint now) {
+  if (!m_was_draining || IsDraining(now)) {
+    return false;
+  }
+  m_was_draining = false;
+  m_until.reset();
+  return true;
+}
+
+std::optional<DrainSource> DrainMark::Source(TimePoint now) const {
+  if (!IsDraining(now)) {
+    return std::nullopt;
+  }
+  return m_source;
+}
+
+}  // namespace wasabihook
--- /dev/null
+++ b/src/decision/routing/hedge_policy.cc
@@ -0,0 +1,127 @@
+#include "decision/routing/hedge_policy.h"
+
+#include <algorithm>
+#include <array>
+#include <mutex>
+#include <unordered_map>
+
+#include "decision/routing/latency_histogram.h"
+#include "wasabihook/config.h"
+
+namespace wasabihook {
+namespace {
+
+// Replies between two recomputations of a group's delay.
+constexpr uint32_t kRefreshReplies = 8;
+// Share by which a recomputation moves the long-term median.
+constexpr double kBaselineStep = 0.02;
+
+struct KeyHash {
+  size_t operator()(const GroupKey& key) const noexcept {
+    size_t hash = std::hash<TeamId>{}(key.team);
+    hash = hash * 31 + std::hash<IndexSetId>{}(key.index_set);
+    return hash * 31 + std::hash<ShardGroupId>{}(key.group);
+  }
+};
+
+struct KeyEqual {
+  bool operator()(const GroupKey& a, const GroupKey& b) const noexcept {
+    return a.group == b.group && a.index_set == b.index_set && a.team == b.team;
+  }
+};
+
+// What is known of one shard group.
+class GroupLatency {
+ public:
+  void Observe(Duration latency) {
+    m_recent.Add(latency);
+    if (m_recent.count() >= config::kHedgeMinReplies &&
+        m_recent.count() % kRefreshReplies == 0) {
+      Refresh();
+    }
+  }
+
+  Duration delay() const { return m_delay; }
+  uint64_t last_used = 0;
+
+ private:
+  void Refresh() {
+    const Duration median = m_recent.Quantile(0.5);
+    const auto micros = static_cast<double>(median.count());
+    m_baseline = m_baseline == 0 || micros < m_baseline
+                     ? micros
+                     : m_baseline + (micros - m_baseline) * kBaselineStep;
+    if (micros > m_baseline * config::kHedgeOverloadFactor) {
+      m_delay = Duration::max();
+      return;
+    }
+    const Duration uneven(
+        static_cast<int64_t>(micros * config::kHedgeMedianFactor));
+    m_delay = std::max({m_recent.Quantile(config::kHedgeQuantile.value), uneven,
+                        config::kMinHedgeDelay});
+  }
+
+  LatencyHistogram m_recent{config::kHedgeWindowReplies};
+  // Long-term median in microseconds: follows falls at once and rises slowly.
+  double m_baseline = 0;
+  Duration m_delay = config::kInitialHedgeDelay;
+};
+
+class QuantileHedgePolicy : public HedgePolicy {
+ public:
+  Duration DelayFor(const GroupKey& group, bool pool_overloaded) override {
+    if (pool_overloaded) {
+      return Duration::max();
+    }
+    Shard& shard = ShardOf(group);
+    std::lock_guard lock(shard.mutex);
+    auto it = shard.groups.find(group);
+    return it == shard.groups.end() ? config::kInitialHedgeDelay
+                                    : it->second.delay();
+  }
+
+  void Observe(const GroupKey& group, Duration latency) override {
+    Shard& shard = ShardOf(group);
+    std::lock_guard lock(shard.mutex);
+    auto it = shard.groups.find(group);
+    if (it == shard.groups.end()) {
+      MakeRoom(shard);
+      it = shard.groups.try_emplace(group).first;
+    }
+    it->second.last_used = ++shard.observations;
+    it->second.Observe(latency);
+  }
+
+ private:
+  struct Shard {
+    std::mutex mutex;
+    std::unordered_map<GroupKey, GroupLatency, KeyHash, KeyEqual> groups;
+    uint64_t observations = 0;
+  };
+
+  Shard& ShardOf(const GroupKey& group) {
+    return m_shards.at(KeyHash{}(group) % m_shards.size());
+  }
+
+  // Evicts the group that was observed the longest time ago.
+  static void MakeRoom(Shard& shard) {
+    if (shard.groups.size() < config::kMaxHedgeGroups / config::kStateShards) {
+      return;
+    }
+    shard.groups.erase(
+        std::min_element(shard.groups.begin(), shard.groups.end(),
+                         [](const auto& a, const auto& b) {
+                           return a.second.last_used < b.second.last_used;
+                         }));
+  }
+
+  std::array<Shard, config::kStateShards> m_shards;
+};
+
+}  // namespace
+
+std::unique_ptr<HedgePolicy> HedgePolicy::Create() {
+  return std::make_unique<QuantileHedgePolicy>();
+}
+
+}  // namespace wasabihook
--- /dev/null
+++ b/src/decision/routing/latency_estimate.h
@@ -0,0 +1,33 @@
+#ifndef SRC_DECISION_ROUTING_LATENCY_ESTIMATE_H_
+#define SRC_DECISION_ROUTING_LATENCY_ESTIMATE_H_
+
+#include <cstdint>
+
+#include "wasabihook/units.h"
+
+namespace wasabihook {
+
+// Moving average of a server's latency that rises faster than it falls and
+// fades while there are no new replies. Not thread-safe.
+class LatencyEstimate {
+ public:
+  // A complete reply took `latency`.
+  void Observe(Duration latency, TimePoint now);
+  // Work was given up after `latency`: a lower bound of what it would have
+  // taken.
+  void ObserveAtLeast(Duration latency, TimePoint now);
+  // Estimate at `now`; 0 if nothing is known.
+  Duration At(TimePoint now) const;
+  // Replies since the last Reset().
+  uint32_t replies() const { return m_replies; }
+  void Reset() { *this = LatencyEstimate(); }
+
+ private:
+  double m_micros = 0;
+  TimePoint m_updated;
+  uint32_t m_replies = 0;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_DECISION_ROUTING_LATENCY_ESTIMATE_H_
--- /dev/null
+++ b/src/decision/routing/server_state.cc
@@ -0,0 +1,170 @@
+#include "decision/routing/server_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "wasabihook/config.h"
+
+namespace wasabihook {
+namespace {
+
+double Ratio(Duration a, Duration b) {
+  return static_cast<double>(a.count()) / static_cast<double>(b.count());
+}
+
+}  // namespace
+
+ReplicaView ServerState::View(const ServerShape& shape,
+                              uint32_t live_instances,
+                              TimePoint now) {
+  m_last_seen = now;
+  m_limit.Configure(shape.slots, live_instances);
+  if (m_drain.TakeReturned(now)) {
+    m_slow_start = now;
+  }
+  ReplicaView view;
+  view.outstanding = m_outstanding;
+  view.limit = Limit(now);
+  view.latency = m_latency.At(now);
+  view.replies = m_latency.replies();
+  view.hinted_load = HintedLoad(now);
+  view.share = Share(now);
+  view.draining = m_drain.IsDraining(now);
+  view.drain_hinted = m_drain.IsHinted(now);
+  view.backing_off = now < m_backoff_until;
+  view.ejected = m_ejection.ejected();
+  view.probe_due = m_ejection.IsProbeDue(now);
+  view.ejection_wanted = m_ejection.wanted();
+  view.ejection_left = m_ejection.Left(now);
+  return view;
+}
+
+double ServerState::Share(TimePoint now) const {
+  const Duration age = now - m_slow_start;
+  if (age >= config::kSlowStart) {
+    return 1;
+  }
+  const double first = config::kSlowStartShare.value;
+  return first + (1 - first) * Ratio(age, config::kSlowStart);
+}
+
+uint32_t ServerState::Limit(TimePoint now) const {
+  const double share = Share(now);
+  return std::max<uint32_t>(
+      static_cast<uint32_t>(std::ceil(m_limit.value() * share)), 1);
+}
+
+double ServerState::HintedLoad(TimePoint now) const {
+  if (m_foreign_load <= 0) {
+    return 0;
+  }
+  const double halvings =
+      Ratio(now - m_load_reported, config::kLoadHintHalfLife);
+  return halvings > 8
+             ? 0
+             : m_foreign_load * config::kLoadHintWeight * std::exp2(-halvings);
+}
+
+bool ServerState::TryTake(const RoutingPolicy& policy, TimePoint now) {
+  if (m_drain.IsDraining(now)) {
+    return false;
+  }
+  const bool probe = m_ejection.IsProbeDue(now);
+  if (policy.outlier_ejection && m_ejection.ejected()) {
+    if (!probe) {
+      return false;
+    }
+  } else if (policy.concurrency_limits && m_outstanding >= Limit(now)) {
+    return false;
+  }
+  if (probe) {
+    m_ejection.StartProbe(now);
+  }
+  ++m_outstanding;
+  return true;
+}
+
+void ServerState::OnReply(const SubReply& reply,
+                          Duration latency,
+                          TimePoint now,
+                          double jitter) {
+  const uint32_t outstanding = m_outstanding;
+  m_outstanding -= m_outstanding > 0 ? 1 : 0;
+  // The last outstanding sub-request is the probe if there is one, even if the
+  // latency was measured from before it was sent.
+  const TimePoint sent = m_outstanding == 0 ? now : now - latency;
+  const Ejection::Change change =
+      m_ejection.OnOutcome(reply.outcome, sent, now, jitter);
+  if (change == Ejection::Change::kRecovered) {
+    m_latency.Reset();
+    m_slow_start = now;
+  }
+  LearnLatency(reply.outcome, latency, now);
+  LearnLoad(reply, now);
+  if (reply.outcome == SubOutcome::kOk) {
+    m_limit.OnSuccess(latency, outstanding, now);
+  } else if (reply.outcome == SubOutcome::kOverloaded) {
+    m_limit.OnRefused(now);
+    const Duration backoff =
+        reply.retry_after.value_or(config::kOverloadBackoff);
+    m_backoff_until = now + std::clamp<Duration>(backoff, Duration(0),
+                                                 config::kMaxOverloadBackoff);
+  } else if (reply.outcome == SubOutcome::kDraining) {
+    m_drain.Set(DrainSource::kServer, now);
+  }
+}
+
+void ServerState::LearnLatency(SubOutcome outcome,
+                               Duration latency,
+                               TimePoint now) {
+  switch (outcome) {
+    case SubOutcome::kOk:
+      m_latency.Observe(latency, now);
+      break;
+    case SubOutcome::kTimedOut:
+    case SubOutcome::kCancelled:
+    case SubOutcome::kConnectionLost:
+      m_latency.ObserveAtLeast(latency, now);
+      break;
+    default:
+      break;  // Refusals and failed connects are quick and say nothing.
+  }
+}
+
+void ServerState::LearnLoad(const SubReply& reply, TimePoint now) {
+  if (!reply.load) {
+    return;
+  }
+  const auto& [running, queued, draining] = *reply.load;
+  const double total = static_cast<double>(running) + queued;
+  m_foreign_load = std::max(0.0, total - m_outstanding);
+  m_load_reported = now;
+  if (reply.outcome == SubOutcome::kOk) {
+    m_drain.SetHint(draining, now);
+  }
+}
+
+void ServerState::MarkDraining(DrainSource source, TimePoint now) {
+  m_drain.Set(source, now);
+}
+
+bool ServerState::IsForgettable(TimePoint now) const {
+  return m_outstanding == 0 && now - m_last_seen > config::kServerRetention;
+}
+
+ServerStatus ServerState::Status(const ServerId& id, TimePoint now) const {
+  ServerStatus status;
+  status.id = id;
+  status.outstanding = m_outstanding;
+  status.latency_estimate = m_latency.At(now);
+  status.concurrency_limit = Limit(now);
+  status.ejected = m_ejection.ejected();
+  status.draining = m_drain.IsDraining(now);
+  status.slow_start = Share(now) < 1;
+  status.drain_source = m_drain.Source(now);
+  status.ejection_left = m_ejection.Left(now);
+  status.consecutive_failures = m_ejection.consecutive_failures();
+  return status;
+}
+
+}  // namespace wasabihook
--- /dev/null
+++ b/src/decision/routing/server_state.h
@@ -0,0 +1,67 @@
+#ifndef SRC_DECISION_ROUTING_SERVER_STATE_H_
+#define SRC_DECISION_ROUTING_SERVER_STATE_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "decision/routing/concurrency_limit.h"
+#include "decision/routing/drain_mark.h"
+#include "decision/routing/ejection.h"
+#include "decision/routing/latency_estimate.h"
+#include "decision/routing/replica_choice.h"
+#include "wasabihook/backend.h"
+#include "wasabihook/server_table.h"
+#include "wasabihook/snapshot.h"
+#include "wasabihook/units.h"
+
+namespace wasabihook {
+
+// Everything that this instance knows of one backend server. Not thread-safe;
+// the shard that holds it locks it.
+class ServerState {
+ public:
+  explicit ServerState(TimePoint now) : m_slow_start(now), m_last_seen(now) {}
+
+  // State for the choice of a replica; also notes that a snapshot lists the
+  // server.
+  ReplicaView View(const ServerShape& shape,
+                   uint32_t live_instances,
+                   TimePoint now);
+  // Counts one more outstanding sub-request; false if the server no longer
+  // takes work under `policy`.
+  bool TryTake(const RoutingPolicy& policy, TimePoint now);
+  void OnReply(const SubReply& reply,
+               Duration latency,
+               TimePoint now,
+               double jitter);
+  void MarkDraining(DrainSource source, TimePoint now);
+  void ClearDraining() { m_drain.Clear(); }
+  void Eject(TimePoint now, double jitter) { m_ejection.Eject(now, jitter); }
+
+  // True if no snapshot has listed the server for the retention time.
+  bool IsForgettable(TimePoint now) const;
+  ServerStatus Status(const ServerId& id, TimePoint now) const;
+
+ private:
+  double Share(TimePoint now) const;
+  double HintedLoad(TimePoint now) const;
+  uint32_t Limit(TimePoint now) const;
+  void LearnLoad(const SubReply& reply, TimePoint now);
+  void LearnLatency(SubOutcome outcome, Duration latency, TimePoint now);
+
+  uint32_t m_outstanding = 0;
+  LatencyEstimate m_latency;
+  ConcurrencyLimit m_limit;
+  Ejection m_ejection;
+  DrainMark m_drain;
+  TimePoint m_slow_start;
+  TimePoint m_last_seen;
+  TimePoint m_backoff_until;
+  // Work of others as the server last reported it.
+  double m_foreign_load = 0;
+  TimePoint m_load_reported;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_DECISION_ROUTING_SERVER_STATE_H_
--- /dev/null
+++ b/src/decision/routing/server_table.cc
@@ -0,0 +1,241 @@
+#include "wasabihook/server_table.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+#include "decision/routing/replica_choice.h"
+#include "decision/routing/server_state.h"
+#include "wasabihook/config.h"
+
+namespace wasabihook {
+namespace {
+
+// States in shards. Shared with the sweep timer, which may outlive the table.
+class ServerShards {
+ public:
+  // Runs `use` on the state of `id`, which is created if needed.
+  template <typename Use>
+  auto With(const ServerId& id, TimePoint now, Use use) {
+    Shard& shard = ShardOf(id);
+    std::lock_guard lock(shard.mutex);
+    return use(shard.servers.try_emplace(id, now).first->second);
+  }
+
+  // Runs `use` on the state of `id` if there is one.
+  template <typename Use>
+  void WithKnown(const ServerId& id, Use use) {
+    Shard& shard = ShardOf(id);
+    std::lock_guard lock(shard.mutex);
+    if (auto it = shard.servers.find(id); it != shard.servers.end()) {
+      use(it->second);
+    }
+  }
+
+  void Sweep(TimePoint now) {
+    for (Shard& shard : m_shards) {
+      std::lock_guard lock(shard.mutex);
+      std::erase_if(shard.servers, [now](const auto& entry) {
+        return entry.second.IsForgettable(now);
+      });
+    }
+  }
+
+  std::vector<ServerStatus> Status(TimePoint now) const {
+    std::vector<ServerStatus> result;
+    for (const Shard& shard : m_shards) {
+      std::lock_guard lock(shard.mutex);
+      for (const auto& [id, state] : shard.servers) {
+        result.push_back(state.Status(id, now));
+      }
+    }
+    std::sort(result.begin(), result.end(),
+              [](const auto& a, const auto& b) { return a.id < b.id; });
+    return result;
+  }
+
+ private:
+  struct Shard {
+    mutable std::mutex mutex;
+    std::unordered_map<ServerId, ServerState> servers;
+  };
+
+  Shard& ShardOf(const ServerId& id) {
+    return m_shards.at(std::hash<ServerId>{}(id) % m_shards.size());
+  }
+
+  std::array<Shard, config::kStateShards> m_shards;
+};
+
+class ShardedServerTable : public ServerTable {
+ public:
+  ShardedServerTable(TimerService* timers, RandomSource random)
+      : m_timers(timers),
+        m_random(std::move(random)),
+        m_shards(std::make_shared<ServerShards>()) {
+    m_sweep = m_timers->SubscribeEvery(
+        config::kServerSweepPeriod, [weak = std::weak_ptr(m_shards), timers] {
+          if (auto shards = weak.lock()) {
+            shards->Sweep(timers->Now());
+          }
+        });
+  }
+
+  ~ShardedServerTable() override { m_timers->Unsubscribe(m_sweep); }
+
+  ShardedServerTable(const ShardedServerTable&) = delete;
+  ShardedServerTable& operator=(const ShardedServerTable&) = delete;
+
+  std::optional<ServerId> Acquire(
+      const ShardGroup& group,
+      const ServerShape& shape,
+      const RoutingPolicy& policy,
+      const std::vector<ServerId>& excluded) override {
+    const TimePoint now = m_timers->Now();
+    std::vector<ReplicaView> views = Views(group, shape, now);
+    if (policy.outlier_ejection && !FindOutliers(views).empty()) {
+      views = EjectOutliers(group, shape, now);
+    }
+    for (ReplicaView& view : views) {
+      const ServerId& id = group.servers[view.index].id;
+      view.excluded =
+          std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+    }
+    RoutingPolicy effective = policy;
+    effective.outlier_ejection =
+        policy.outlier_ejection && CanSpareEjected(views);
+    // A probe may fail, which a repeated attempt can afford less.
+    const bool may_probe = excluded.empty();
+    for (size_t position :
+         RankReplicas(views, effective, may_probe, m_random)) {
+      const ServerId& id = group.servers[views[position].index].id;
+      if (m_shards->With(id, now, [&](ServerState& state) {
+            return state.TryTake(effective, now);
+          })) {
+        return id;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void Release(const ServerId& server,
+               const SubReply& reply,
+               Duration latency) override {
+    const TimePoint now = m_timers->Now();
+    const double jitter = IsServerFailure(reply.outcome) ? RandomUnit() : 0;
+    m_shards->WithKnown(server, [&](ServerState& state) {
+      state.OnReply(reply, latency, now, jitter);
+    });
+  }
+
+  void MarkDraining(const ServerId& server, DrainSource source) override {
+    const TimePoint now = m_timers->Now();
+    m_shards->With(server, now, [&](ServerState& state) {
+      state.MarkDraining(source, now);
+      return true;
+    });
+  }
+
+  void ClearDraining(const ServerId& server) override {
+    m_shards->WithKnown(server,
+                        [](ServerState& state) { state.ClearDraining(); });
+  }
+
+  void SetLiveInstances(uint32_t count) override {
+    m_live_instances = std::max<uint32_t>(count, 1);
+  }
+
+  std::vector<ServerStatus> Status() const override {
+    return m_shards->Status(m_timers->Now());
+  }
+
+ private:
+  double RandomUnit() const {
+    return static_cast<double>(m_random() >> 11) * 0x1.0p-53;
+  }
+
+  // Locks one server at a time, so the views may be of slightly different
+  // moments; TryTake() checks again.
+  std::vector<ReplicaView> Views(const ShardGroup& group,
+                                 const ServerShape& shape,
+                                 TimePoint now) {
+    std::vector<ReplicaView> views;
+    views.reserve(group.servers.size());
+    for (size_t i = 0; i < group.servers.size(); ++i) {
+      views.push_back(
+          m_shards->With(group.servers[i].id, now, [&](ServerState& state) {
+            return state.View(shape, m_live_instances, now);
+          }));
+      views.back().index = i;
+    }
+    return views;
+  }
+
+  // Ejects outliers while the group can spare them. One at a time over the
+  // whole table, so that concurrent calls cannot exceed the ceiling together.
+  std::vector<ReplicaView> EjectOutliers(const ShardGroup& group,
+                                         const ServerShape& shape,
+                                         TimePoint now) {
+    std::lock_guard lock(m_ejection_mutex);
+    std::vector<ReplicaView> views = Views(group, shape, now);
+    for (size_t position : FindOutliers(views)) {
+      if (!CanEject(views, position)) {
+        continue;
+      }
+      const ServerId& id = group.servers[views[position].index].id;
+      const double jitter = RandomUnit();
+      m_shards->With(id, now, [&](ServerState& state) {
+        state.Eject(now, jitter);
+        return true;
+      });
+      views[position].ejected = true;
+      views[position].probe_due = false;
+    }
+    return views;
+  }
+
+  static bool CanEject(const std::vector<ReplicaView>& views,
+                       size_t candidate) {
+    size_t ejected = 0;
+    size_t others_usable = 0;
+    for (size_t i = 0; i < views.size(); ++i) {
+      ejected += views[i].ejected ? 1 : 0;
+      others_usable +=
+          i != candidate && !views[i].ejected && !views[i].draining ? 1 : 0;
+    }
+    return ejected < MaxEjected(views.size()) && others_usable > 0;
+  }
+
+  // False if ejections are to be ignored: a server can be in several groups or
+  // its peers may drain, and then a group can have more ejected servers than
+  // the ceiling or no other server left.
+  static bool CanSpareEjected(const std::vector<ReplicaView>& views) {
+    size_t ejected = 0;
+    size_t usable = 0;
+    for (const ReplicaView& view : views) {
+      ejected += view.ejected ? 1 : 0;
+      usable += !view.ejected && !view.draining ? 1 : 0;
+    }
+    return ejected <= MaxEjected(views.size()) && usable > 0;
+  }
+
+  TimerService* m_timers;
+  RandomSource m_random;
+  std::shared_ptr<ServerShards> m_shards;
+  std::atomic<uint32_t> m_live_instances{1};
+  // Taken before any shard's lock.
+  std::mutex m_ejection_mutex;
+  TimerHandle m_sweep;
+};
+
+}  // namespace
+
+std::unique_ptr<ServerTable> ServerTable::Create(TimerService* timers,
+                                                 RandomSource random) {
+  return std::make_unique<ShardedServerTable>(timers, std::move(random));
+}
+
+}  // namespace wasabihook
