Add the wire format and the transport to backend servers

The tier needs a BackendTransport. Sub-requests go over HTTP/1.1 through one libcurl multi handle per shard thread, driven by epoll so that the cost of a wake-up does not grow with the transfers in flight.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -44,6 +44,21 @@
 inline constexpr Duration kConnectTimeout = milliseconds(250);
 inline constexpr Duration kBackendIdleTimeout = seconds(60);
 inline constexpr size_t kMaxBackendReplyBytes = 8 * 1024 * 1024;
+inline constexpr uint32_t kBackendShards = 4;
+// Applies until SetConnectionLimit() is called for a server.
+inline constexpr uint32_t kBackendConnections = 4;
+// Time without a reply byte after which a connection is checked, if the caller
+// of the transport gives no expected time.
+inline constexpr Duration kProgressTimeout = milliseconds(250);
+inline constexpr Duration kProbeTimeout = milliseconds(500);
+inline constexpr Duration kCancelTimeout = milliseconds(250);
+// Unacknowledged data older than this breaks a backend connection.
+inline constexpr Duration kTcpUserTimeout = seconds(2);
+inline constexpr seconds kTcpKeepaliveIdle{5};
+inline constexpr seconds kTcpKeepaliveInterval{2};
+inline constexpr uint32_t kMaxReplyNesting = 64;
+// Cancelled ids per server that wait to be sent; more are dropped.
+inline constexpr size_t kMaxPendingCancels = 64;
 
 // --- Outlier ejection ---
 inline constexpr Fraction kMaxEjectedFraction{0.5};
--- /dev/null
+++ b/src/peers/backend/curl_transport.h
@@ -0,0 +1,40 @@
+// Private. BackendTransport over libcurl.
+#ifndef SRC_PEERS_BACKEND_CURL_TRANSPORT_H_
+#define SRC_PEERS_BACKEND_CURL_TRANSPORT_H_
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "peers/backend/transport_options.h"
+#include "wasabihook/backend.h"
+
+namespace wasabihook {
+
+class Shard;
+
+// Sends sub-requests over HTTP/1.1. Each server belongs to one shard, a thread
+// that holds all connections to it. Callbacks run on shard threads and should
+// be short. The destructor ends sub-requests in flight with kCancelled and
+// returns after the last callback; it must not run on a shard thread.
+class CurlBackendTransport : public BackendTransport {
+ public:
+  explicit CurlBackendTransport(BackendTransportOptions options = {});
+  ~CurlBackendTransport() override;
+
+  void Send(SubRequest request, SubReplyCallback done) override;
+  void Cancel(const SubRequestId& id) override;
+  void SetConnectionLimit(const ServerId& server, uint32_t limit) override;
+  BackendTransportStats Stats() const;
+
+ private:
+  Shard& ShardOf(const ServerId& server);
+
+  std::atomic<uint64_t> m_pending{0};
+  std::vector<std::unique_ptr<Shard>> m_shards;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_PEERS_BACKEND_CURL_TRANSPORT_H_
--- /dev/null
+++ b/src/peers/backend/reply_body.h
@@ -0,0 +1,38 @@
+// Private. Parser of the JSON bodies that backend servers send.
+#ifndef SRC_PEERS_BACKEND_REPLY_BODY_H_
+#define SRC_PEERS_BACKEND_REPLY_BODY_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wasabihook/backend.h"
+
+namespace wasabihook {
+
+// Members that a body held; absent members are empty.
+struct ReplyBody {
+  std::optional<std::string> request_id;
+  std::optional<uint64_t> index_version;
+  std::optional<uint64_t> map_version;
+  std::optional<std::string> group;
+  std::optional<uint64_t> records_searched;
+  std::optional<uint64_t> row_count;
+  bool has_rows = false;
+  // Text of each row as the server sent it.
+  std::vector<std::string> rows;
+  std::optional<LoadHint> load;
+  std::optional<std::string> error;
+  std::optional<SnapshotId> newest;
+};
+
+// Parses one JSON object. Empty if the text is not JSON, a known member has
+// another type or occurs twice, a row is not an object, or values are nested
+// deeper than config::kMaxReplyNesting. Unknown members are ignored.
+std::optional<ReplyBody> ParseReplyBody(std::string_view text);
+
+}  // namespace wasabihook
+
+#endif  // SRC_PEERS_BACKEND_REPLY_BODY_H_
--- /dev/null
+++ b/src/peers/backend/shard.h
@@ -0,0 +1,153 @@
+// Private. One thread of the transport with its servers and connections.
+#ifndef SRC_PEERS_BACKEND_SHARD_H_
+#define SRC_PEERS_BACKEND_SHARD_H_
+
+#include <curl/curl.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <queue>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+#include "peers/backend/connection_table.h"
+#include "peers/backend/transfer.h"
+#include "peers/backend/transport_options.h"
+
+namespace wasabihook {
+
+// Event loop over one libcurl multi handle. The public functions are
+// thread-safe; everything else runs on the shard's thread.
+class Shard {
+ public:
+  // `on_called_back` is called after each callback of a Send().
+  Shard(const BackendTransportOptions& options,
+        std::function<void()> on_called_back);
+  ~Shard();
+  Shard(const Shard&) = delete;
+  Shard& operator=(const Shard&) = delete;
+
+  void Send(SubRequest request, SubReplyCallback done);
+  // False if no sub-request with this id is in the shard.
+  bool Cancel(const SubRequestId& id);
+  void SetConnectionLimit(const ServerId& server, uint32_t limit);
+  // From now on every sub-request ends with kCancelled at once.
+  void Stop();
+  // Ends the thread. No sub-request may be left.
+  void Join();
+  const ShardCounters& counters() const { return m_counters; }
+
+ private:
+  using Clock = TransportClock;
+  struct SendCommand {
+    SubRequest request;
+    SubReplyCallback done;
+    Clock::time_point deadline;
+  };
+  struct CancelCommand {
+    SubRequestId id;
+  };
+  struct LimitCommand {
+    ServerId server;
+    uint32_t limit;
+  };
+  struct StopCommand {};
+  struct ExitCommand {};
+  using Command = std::variant<SendCommand,
+                               CancelCommand,
+                               LimitCommand,
+                               StopCommand,
+                               ExitCommand>;
+  struct Timer {
+    Clock::time_point when;
+    Transfer* transfer;
+    uint64_t serial;
+    bool operator>(const Timer& other) const { return when > other.when; }
+  };
+
+  // Commands.
+  void Post(Command command);
+  void RunCommands();
+  void Run(SendCommand command);
+  void Run(CancelCommand command);
+  void Run(LimitCommand command);
+  void Run(StopCommand);
+  void Run(ExitCommand);
+
+  // Event loop.
+  void Loop();
+  int WaitMs();
+  void HandleEvent(uint64_t data, uint32_t events);
+  void RunCurlTimer();
+  void ReadCompletions();
+  void RunTimers();
+
+  // Transfers.
+  Server* FindServer(const ServerId& id);
+  Transfer* NewTransfer(TransferKind kind, Server* server);
+  void Recycle(Transfer* transfer);
+  void SetTimer(Transfer* transfer, Clock::time_point when);
+  void Enqueue(Transfer* transfer);
+  void Pump(Server* server);
+  void Start(Transfer* transfer);
+  void StartCancel(Server* server);
+  // Takes the transfer from libcurl; one that is under way loses its
+  // connection.
+  void Withdraw(Transfer* transfer);
+  void Complete(Transfer* transfer, CURLcode code);
+  void CompleteWork(Transfer* transfer, CURLcode code);
+  void FinishWork(Transfer* transfer, SubOutcome outcome);
+  void FinishWork(Transfer* transfer, SubReply reply);
+  void CountInvalid(const Transfer& transfer, InvalidCause cause);
+  void Restart(Transfer* transfer, bool fresh);
+
+  // Timers and silent connections (shard_silence.cc).
+  void OnTimer(Transfer* transfer, Clock::time_point now);
+  void OnDeadline(Transfer* transfer);
+  void OnProgressOver(Transfer* transfer);
+  Clock::time_point ProgressDeadline(const Transfer& transfer) const;
+  bool StartProbe(Server* server);
+  void OnProbeDone(Transfer* probe, bool answered);
+  bool LooksSilent(const Transfer& transfer) const;
+  void MoveOff(Transfer* transfer, Clock::time_point cutoff);
+
+  static int OnSocket(CURL*, curl_socket_t fd, int what, void* self, void*);
+  static int OnCurlTimer(CURLM*, long timeout_ms, void* self);
+
+  const BackendTransportOptions m_options;
+  const std::function<void()> m_on_called_back;
+  ShardCounters m_counters;
+  int m_epoll;
+  int m_wake_fd;
+  CURLM* m_multi;
+  ConnectionTable m_connections;
+  TransferContext m_context;
+  std::optional<Clock::time_point> m_curl_timer;
+  std::unordered_map<ServerId, std::unique_ptr<Server>> m_servers;
+  std::unordered_map<SubRequestId, Transfer*> m_work;
+  std::vector<std::unique_ptr<Transfer>> m_transfers;
+  std::vector<Transfer*> m_free;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
+  uint64_t m_next_serial = 1;
+  bool m_stopping = false;
+  bool m_exit = false;
+
+  std::mutex m_mutex;
+  std::vector<Command> m_commands;              // Guarded by m_mutex.
+  std::unordered_set<SubRequestId> m_live_ids;  // Guarded by m_mutex.
+  std::vector<SubRequestId> m_ended_ids;  // Shard thread: to be removed above.
+  std::vector<Command> m_running_commands;
+  std::thread m_thread;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_PEERS_BACKEND_SHARD_H_
--- /dev/null
+++ b/src/peers/backend/transfer.h
@@ -0,0 +1,110 @@
+// Private. One HTTP exchange with a backend server on a pooled easy handle.
+#ifndef SRC_PEERS_BACKEND_TRANSFER_H_
+#define SRC_PEERS_BACKEND_TRANSFER_H_
+
+#include <curl/curl.h>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "peers/backend/connection_table.h"
+#include "peers/backend/wire.h"
+#include "wasabihook/backend.h"
+
+namespace wasabihook {
+
+// State of one backend server within its shard.
+struct Server {
+  ServerId id;
+  std::string base_url;
+  uint32_t limit = 0;
+  // Transfers handed to libcurl; each uses at most one connection.
+  uint32_t in_flight = 0;
+  // Open ones, oldest first.
+  std::vector<Connection*> connections;
+  std::deque<Transfer*> waiting;
+  std::vector<SubRequestId> cancels;
+  bool probing = false;
+  // Factor on the expected time; grows when moves did not help.
+  uint32_t patience = 1;
+};
+
+enum class TransferKind : uint8_t { kWork, kCancel, kProbe };
+
+struct TransferContext {
+  ConnectionTable* connections = nullptr;
+  ShardCounters* counters = nullptr;
+  const BackendTransportOptions* options = nullptr;
+};
+
+struct Transfer {
+  explicit Transfer(const TransferContext& context);
+  ~Transfer();
+  Transfer(const Transfer&) = delete;
+  Transfer& operator=(const Transfer&) = delete;
+
+  // Sets the options of the easy handle for the present attempt.
+  void Prepare(Duration remaining);
+  // Forgets the reply of an earlier attempt.
+  void ClearReply();
+  // Separates the transfer from its connection.
+  void Detach();
+
+  const TransferContext& context;
+  CURL* const easy;
+  // Differs for each use, so that timers of an earlier use are ignored.
+  uint64_t serial = 0;
+  TransferKind kind = TransferKind::kWork;
+  Server* server = nullptr;
+  SubRequest request;
+  SubReplyCallback done;
+  std::string body;
+  std::string url;
+  TransportClock::time_point deadline;
+  TransportClock::time_point sent_at;
+  Duration expected{0};
+  Connection* connection = nullptr;
+  ReplyHead head;
+  std::string reply;
+
+  bool active = false;     // Handed to libcurl.
+  bool fresh = false;      // Must use a new connection.
+  bool sent = false;       // This attempt was handed to the server.
+  bool ever_sent = false;  // Any attempt was.
+  bool restart = false;    // The chosen connection may not be reused.
+  bool limit_hit = false;  // No socket was opened for the limit.
+  bool resend = false;     // libcurl tried to send a second time.
+  bool too_large = false;  // The reply exceeds the limit.
+  bool moved = false;      // Moved off a silent connection.
+  bool awaits_probe = false;
+  bool progress_over = false;  // No further progress check.
+
+ private:
+  static constexpr size_t kHeaders = 8;
+
+  void AddHeader(const char* name, std::string_view value);
+  void AddHeader(const char* name, uint64_t value);
+  void SetConstantOptions();
+  int OnPrerequest(int local_port);
+
+  static curl_socket_t OpenSocket(void* self,
+                                  curlsocktype purpose,
+                                  curl_sockaddr* address);
+  static int CloseSocket(void* table, curl_socket_t fd);
+  static int SocketOptions(void* self, curl_socket_t fd, curlsocktype purpose);
+  static int Prerequest(void* self, char*, char*, int, int local_port);
+  static size_t Header(char* data, size_t size, size_t n, void* self);
+  static size_t Body(char* data, size_t size, size_t n, void* self);
+
+  std::array<std::string, kHeaders> m_header_text;
+  std::array<curl_slist, kHeaders> m_headers{};
+  size_t m_header_count = 0;
+  std::string m_set_url;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_PEERS_BACKEND_TRANSFER_H_
--- /dev/null
+++ b/src/peers/backend/transport_options.h
@@ -0,0 +1,86 @@
+// Private. Options and counters of the transport to backend servers.
+#ifndef SRC_PEERS_BACKEND_TRANSPORT_OPTIONS_H_
+#define SRC_PEERS_BACKEND_TRANSPORT_OPTIONS_H_
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+
+#include "peers/backend/wire.h"
+#include "wasabihook/backend.h"
+#include "wasabihook/config.h"
+#include "wasabihook/units.h"
+
+namespace wasabihook {
+
+struct BackendTransportOptions {
+  uint32_t shards = config::kBackendShards;
+  uint32_t connection_limit = config::kBackendConnections;
+  Duration connect_timeout = config::kConnectTimeout;
+  Duration idle_timeout = config::kBackendIdleTimeout;
+  size_t max_reply_bytes = config::kMaxBackendReplyBytes;
+  // Time within which a reply to a sub-request normally starts. A connection
+  // that exceeds it is checked for silence. Called on shard threads.
+  std::function<Duration(const SubRequest&)> expected_time =
+      [](const SubRequest&) { return config::kProgressTimeout; };
+};
+
+// Counts since start; `open` is the present number.
+struct BackendTransportStats {
+  uint64_t open = 0;
+  uint64_t opened = 0;
+  uint64_t reused = 0;
+  uint64_t connect_failed = 0;
+  uint64_t refused_for_limit = 0;  // Sockets not opened for the limit.
+  uint64_t closed_as_suspect = 0;
+  uint64_t closed_by_server = 0;  // Idle connections ended by the server.
+  uint64_t resends_prevented = 0;
+  uint64_t moved = 0;  // Sub-requests moved off a silent connection.
+  uint64_t probes = 0;
+  uint64_t timed_out = 0;
+  uint64_t cancelled = 0;
+  uint64_t cancels_sent = 0;
+  uint64_t cancels_dropped = 0;
+  std::array<uint64_t, kInvalidCauses> invalid{};  // By InvalidCause.
+};
+
+// Counter written by one shard thread and read by any.
+class ShardCounter {
+ public:
+  void Add(int64_t n = 1) {
+    m_value.store(m_value.load(std::memory_order_relaxed) + n,
+                  std::memory_order_relaxed);
+  }
+  uint64_t Get() const {
+    return static_cast<uint64_t>(m_value.load(std::memory_order_relaxed));
+  }
+
+ private:
+  std::atomic<int64_t> m_value{0};
+};
+
+struct ShardCounters {
+  ShardCounter open;
+  ShardCounter opened;
+  ShardCounter reused;
+  ShardCounter connect_failed;
+  ShardCounter refused_for_limit;
+  ShardCounter closed_as_suspect;
+  ShardCounter closed_by_server;
+  ShardCounter resends_prevented;
+  ShardCounter moved;
+  ShardCounter probes;
+  ShardCounter timed_out;
+  ShardCounter cancelled;
+  ShardCounter cancels_sent;
+  ShardCounter cancels_dropped;
+  std::array<ShardCounter, kInvalidCauses> invalid;
+
+  void AddTo(BackendTransportStats* stats) const;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_PEERS_BACKEND_TRANSPORT_OPTIONS_H_
