Add the HTTP listener

Every server side (callers, peers, admin, fakes) needs a listener on one address whose requests in flight hold no thread. This wraps libmicrohttpd with suspended connections and an exactly-once responder, limits on body, headers, connections and idle time, and a stop that waits for responses in flight, including connections still in the backlog.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -24,6 +24,10 @@
 inline constexpr size_t kMaxHeaderBytes = 16 * 1024;
 inline constexpr uint32_t kMaxCallerConnections = 1024;
 inline constexpr Duration kCallerIdleTimeout = seconds(30);
+inline constexpr Duration kCallerBodyTimeout = seconds(30);
+inline constexpr uint32_t kListenerThreads = 2;
+// Time a stopping listener gives a new connection to send its first request.
+inline constexpr Duration kStopLinger = milliseconds(200);
 
 // --- Coverage ---
 inline constexpr Fraction kLeastCoverage{0.9};
--- /dev/null
+++ b/src/runtime/http_listener.cc
@@ -0,0 +1,424 @@
+#include "runtime/http_listener.h"
+
+#include <microhttpd.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <set>
+#include <stdexcept>
+
+#include "runtime/socket_address.h"
+
+namespace wasabihook {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr int kServiceUnavailable = 503;
+// Bytes of each connection's memory pool beyond the headers: read buffer,
+// response header and libmicrohttpd's own entries.
+constexpr size_t kConnectionOverheadBytes = 16 * 1024;
+// An oversized body up to this multiple of the limit is read and discarded, so
+// that the caller gets the answer; closing with unread data would reset the
+// connection before the caller reads it.
+constexpr uint64_t kDiscardFactor = 8;
+
+std::optional<std::string> Find(const HttpHeaders& entries,
+                                std::string_view name,
+                                bool ignore_case) {
+  for (const auto& [key, value] : entries) {
+    if (key.size() != name.size())
+      continue;
+    if (ignore_case ? strncasecmp(key.data(), name.data(), name.size()) == 0
+                    : key == name)
+      return value;
+  }
+  return std::nullopt;
+}
+
+MHD_Result CollectValue(void* into,
+                        MHD_ValueKind /*kind*/,
+                        const char* key,
+                        size_t key_size,
+                        const char* value,
+                        size_t value_size) {
+  static_cast<HttpHeaders*>(into)->emplace_back(
+      std::string(key, key_size),
+      value == nullptr ? std::string() : std::string(value, value_size));
+  return MHD_YES;
+}
+
+void FreeString(void* text) {
+  delete static_cast<std::string*>(text);
+}
+
+MHD_Response* MakeResponse(HttpResponse&& response, bool close) {
+  auto* body = new std::string(std::move(response.body));
+  MHD_Response* out = MHD_create_response_from_buffer_with_free_callback_cls(
+      body->size(), body->data(), &FreeString, body);
+  if (out == nullptr) {
+    delete body;
+    return nullptr;
+  }
+  MHD_add_response_header(out, MHD_HTTP_HEADER_CONTENT_TYPE,
+                          response.content_type.c_str());
+  for (const auto& [name, value] : response.headers)
+    MHD_add_response_header(out, name.c_str(), value.c_str());
+  if (close)
+    MHD_add_response_header(out, MHD_HTTP_HEADER_CONNECTION, "close");
+  return out;
+}
+
+}  // namespace
+
+std::optional<std::string> HttpRequest::Header(std::string_view name) const {
+  return Find(headers, name, true);
+}
+
+std::optional<std::string> HttpRequest::QueryArgument(
+    std::string_view name) const {
+  return Find(query, name, false);
+}
+
+class HttpListener::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(HttpListenerOptions options, HttpHandler handler)
+      : m_options(std::move(options)), m_handler(std::move(handler)) {}
+
+  void Start();
+  size_t Stop(Duration limit);
+
+  const std::string& address() const { return m_address; }
+  size_t in_flight() const {
+    std::lock_guard lock(m_mutex);
+    return m_exchanges.size();
+  }
+  void CloseAfterResponse() { m_close_after_response = true; }
+
+ private:
+  // One request and its response. Shared by the connection and the responder.
+  struct Exchange {
+    MHD_Connection* connection = nullptr;
+    HttpRequest request;
+    Clock::time_point started = Clock::now();
+    uint64_t received = 0;
+    std::mutex mutex;
+    bool dispatched = false;  // Used by the connection's thread only.
+    bool answered = false;
+    HttpResponse response;
+  };
+  using ExchangePtr = std::shared_ptr<Exchange>;
+
+  // Answers 500 when the last copy of a responder goes without an answer.
+  struct ResponderState {
+    ResponderState(std::shared_ptr<Impl> impl_in, ExchangePtr exchange_in)
+        : impl(std::move(impl_in)), exchange(std::move(exchange_in)) {}
+    ResponderState(const ResponderState&) = delete;
+    ResponderState& operator=(const ResponderState&) = delete;
+    std::shared_ptr<Impl> impl;
+    ExchangePtr exchange;
+    ~ResponderState() {
+      impl->Answer(exchange,
+                   {.status = 500, .body = R"({"error":"internal"})"});
+    }
+  };
+
+  static MHD_Result OnAccess(void* self,
+                             MHD_Connection* connection,
+                             const char* url,
+                             const char* method,
+                             const char* version,
+                             const char* upload,
+                             size_t* upload_size,
+                             void** state);
+  static void OnCompleted(void* self,
+                          MHD_Connection* connection,
+                          void** state,
+                          MHD_RequestTerminationCode code);
+
+  void Begin(MHD_Connection* connection,
+             const char* url,
+             const char* method,
+             void** state);
+  MHD_Result Receive(Exchange& exchange, const char* data, size_t* size);
+  void Dispatch(const ExchangePtr& exchange);
+  MHD_Result SendAnswer(Exchange& exchange);
+  void Answer(const ExchangePtr& exchange, HttpResponse response);
+  void TakeBacklog(int listen_socket);
+  size_t AbortWaiting();
+
+  HttpListenerOptions m_options;
+  HttpHandler m_handler;
+  std::string m_address;
+  std::atomic<bool> m_close_after_response{false};
+
+  mutable std::mutex m_mutex;
+  std::condition_variable m_changed;
+  MHD_Daemon* m_daemon = nullptr;
+  std::set<ExchangePtr> m_exchanges;
+  // Connections suspended in the library; it must not be stopped before 0.
+  size_t m_suspended = 0;
+};
+
+void HttpListener::Impl::Start() {
+  const int fd = OpenListenSocket(m_options.address);
+  m_address = BoundAddress(fd);
+  const unsigned threads = std::max(1U, m_options.threads);
+  const auto seconds = std::max<int64_t>(
+      1,
+      std::chrono::ceil<std::chrono::seconds>(m_options.idle_timeout).count());
+  const MHD_OptionItem pool[] = {
+      {threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END,
+       static_cast<intptr_t>(threads), nullptr},
+      {MHD_OPTION_END, 0, nullptr}};
+  // The library divides the connection limit over its threads, rounding down.
+  const unsigned connections =
+      (m_options.max_connections + threads - 1) / threads * threads;
+  m_daemon = MHD_start_daemon(
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr,
+      nullptr, &Impl::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, fd,
+      MHD_OPTION_CONNECTION_LIMIT, connections,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      2 * m_options.max_header_bytes + kConnectionOverheadBytes,
+      MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(seconds),
+      MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted, this, MHD_OPTION_ARRAY,
+      pool, MHD_OPTION_END);
+  if (m_daemon == nullptr) {
+    close(fd);
+    throw std::runtime_error("cannot start the HTTP listener on " + m_address);
+  }
+}
+
+MHD_Result HttpListener::Impl::OnAccess(void* self,
+                                        MHD_Connection* connection,
+                                        const char* url,
+                                        const char* method,
+                                        const char* /*version*/,
+                                        const char* upload,
+                                        size_t* upload_size,
+                                        void** state) {
+  auto* impl = static_cast<Impl*>(self);
+  if (*state == nullptr) {
+    impl->Begin(connection, url, method, state);
+    return MHD_YES;
+  }
+  const ExchangePtr& exchange = *static_cast<ExchangePtr*>(*state);
+  if (*upload_size > 0)
+    return impl->Receive(*exchange, upload, upload_size);
+  if (exchange->dispatched)
+    return impl->SendAnswer(*exchange);
+  impl->Dispatch(exchange);
+  return MHD_YES;
+}
+
+void HttpListener::Impl::Begin(MHD_Connection* connection,
+                               const char* url,
+                               const char* method,
+                               void** state) {
+  auto exchange = std::make_shared<Exchange>();
+  exchange->connection = connection;
+  HttpRequest& request = exchange->request;
+  request.method = method;
+  request.path = url;
+  MHD_get_connection_values_n(connection, MHD_HEADER_KIND, &CollectValue,
+                              &request.headers);
+  MHD_get_connection_values_n(connection, MHD_GET_ARGUMENT_KIND, &CollectValue,
+                              &request.query);
+  size_t header_bytes = request.path.size();
+  for (const auto* entries : {&request.headers, &request.query}) {
+    for (const auto& [name, value] : *entries)
+      header_bytes += name.size() + value.size() + 4;
+  }
+  if (header_bytes > m_options.max_header_bytes)
+    request.refused_status = MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+  *state = new ExchangePtr(exchange);
+  std::lock_guard lock(m_mutex);
+  m_exchanges.insert(std::move(exchange));
+}
+
+MHD_Result HttpListener::Impl::Receive(Exchange& exchange,
+                                       const char* data,
+                                       size_t* size) {
+  exchange.received += *size;
+  if (exchange.received > kDiscardFactor * m_options.max_body_bytes ||
+      Clock::now() - exchange.started > m_options.body_timeout)
+    return MHD_NO;
+  if (exchange.received > m_options.max_body_bytes) {
+    exchange.request.body.clear();
+    exchange.request.refused_status = MHD_HTTP_CONTENT_TOO_LARGE;
+  } else if (!exchange.request.refused_status) {
+    exchange.request.body.append(data, *size);
+  }
+  *size = 0;
+  return MHD_YES;
+}
+
+void HttpListener::Impl::Dispatch(const ExchangePtr& exchange) {
+  exchange->dispatched = true;
+  {
+    std::lock_guard lock(m_mutex);
+    ++m_suspended;
+  }
+  // Suspends before the handler runs, since the handler or another thread may
+  // answer, and so resume, at once.
+  MHD_suspend_connection(exchange->connection);
+  auto state = std::make_shared<ResponderState>(shared_from_this(), exchange);
+  HttpResponder responder = [state](HttpResponse response) {
+    state->impl->Answer(state->exchange, std::move(response));
+  };
+  state.reset();
+  try {
+    m_handler(std::move(exchange->request), responder);
+  } catch (const std::exception&) {
+    responder({.status = 500, .body = R"({"error":"internal"})"});
+  }
+}
+
+MHD_Result HttpListener::Impl::SendAnswer(Exchange& exchange) {
+  HttpResponse response;
+  {
+    std::lock_guard lock(exchange.mutex);
+    if (!exchange.answered)
+      return MHD_YES;
+    response = std::move(exchange.response);
+  }
+  const auto status = static_cast<unsigned>(response.status);
+  MHD_Response* out =
+      MakeResponse(std::move(response), m_close_after_response.load());
+  if (out == nullptr)
+    return MHD_NO;
+  const MHD_Result result =
+      MHD_queue_response(exchange.connection, status, out);
+  MHD_destroy_response(out);
+  return result;
+}
+
+void HttpListener::Impl::Answer(const ExchangePtr& exchange,
+                                HttpResponse response) {
+  {
+    std::lock_guard lock(exchange->mutex);
+    if (exchange->answered)
+      return;
+    exchange->answered = true;
+    exchange->response = std::move(response);
+  }
+  // The connection stays valid: suspended until this only call that resumes it.
+  MHD_resume_connection(exchange->connection);
+  std::lock_guard lock(m_mutex);
+  --m_suspended;
+  m_changed.notify_all();
+}
+
+void HttpListener::Impl::OnCompleted(void* self,
+                                     MHD_Connection* /*connection*/,
+                                     void** state,
+                                     MHD_RequestTerminationCode /*code*/) {
+  if (*state == nullptr)
+    return;
+  auto* impl = static_cast<Impl*>(self);
+  std::unique_ptr<ExchangePtr> exchange(static_cast<ExchangePtr*>(*state));
+  *state = nullptr;
+  std::lock_guard lock(impl->m_mutex);
+  impl->m_exchanges.erase(*exchange);
+  impl->m_changed.notify_all();
+}
+
+// Connections that callers opened before the socket closes are served too.
+void HttpListener::Impl::TakeBacklog(int listen_socket) {
+  while (true) {
+    sockaddr_storage peer{};
+    socklen_t length = sizeof(peer);
+    auto* address = reinterpret_cast<sockaddr*>(&peer);
+    const int fd =
+        accept4(listen_socket, address, &length, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (fd < 0)
+      return;
+    MHD_add_connection(m_daemon, fd, address, length);
+  }
+}
+
+size_t HttpListener::Impl::AbortWaiting() {
+  std::set<ExchangePtr> exchanges;
+  {
+    std::lock_guard lock(m_mutex);
+    exchanges = m_exchanges;
+  }
+  size_t cut = 0;
+  for (const ExchangePtr& exchange : exchanges) {
+    {
+      std::lock_guard lock(exchange->mutex);
+      if (exchange->answered)
+        continue;
+    }
+    ++cut;
+    if (exchange->dispatched)
+      Answer(exchange, {.status = kServiceUnavailable,
+                        .body = R"({"error":"shutting_down"})"});
+  }
+  return cut;
+}
+
+size_t HttpListener::Impl::Stop(Duration limit) {
+  const auto now = Clock::now();
+  if (m_daemon == nullptr)
+    return 0;
+  m_close_after_response = true;
+  if (const int fd = MHD_quiesce_daemon(m_daemon); fd >= 0) {
+    TakeBacklog(fd);
+    close(fd);
+  }
+  const auto linger = now + std::min(limit, config::kStopLinger);
+  {
+    std::unique_lock lock(m_mutex);
+    // A connection that a thread is still taking over is in no list yet, so
+    // the whole time is waited.
+    m_changed.wait_until(lock, linger, [] { return false; });
+    m_changed.wait_until(lock, now + limit,
+                         [this] { return m_exchanges.empty(); });
+  }
+  const size_t cut = AbortWaiting();
+  {
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [this] { return m_suspended == 0; });
+    // Gives the threads time to send the answers of requests that were cut.
+    if (cut > 0)
+      m_changed.wait_for(lock, config::kStopLinger,
+                         [this] { return m_exchanges.empty(); });
+  }
+  MHD_stop_daemon(m_daemon);
+  m_daemon = nullptr;
+  return cut;
+}
+
+HttpListener::HttpListener(HttpListenerOptions options, HttpHandler handler)
+    : m_impl(std::make_shared<Impl>(std::move(options), std::move(handler))) {
+  m_impl->Start();
+}
+
+HttpListener::~HttpListener() {
+  Stop(Duration(0));
+}
+
+const std::string& HttpListener::address() const {
+  return m_impl->address();
+}
+
+size_t HttpListener::in_flight() const {
+  return m_impl->in_flight();
+}
+
+void HttpListener::CloseAfterResponse() {
+  m_impl->CloseAfterResponse();
+}
+
+size_t HttpListener::Stop(Duration limit) {
+  return m_impl->Stop(limit);
+}
+
+}  // namespace wasabihook
--- /dev/null
+++ b/tests/http_listener_test.cc
@@ -0,0 +1,246 @@
+#include "runtime/http_listener.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <condition_variable>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace wasabihook {
+namespace {
+
+using std::chrono::seconds;
+
+struct Result {
+  CURLcode code = CURLE_OK;
+  long status = 0;
+  std::string body;
+};
+
+size_t Append(char* data, size_t size, size_t count, void* into) {
+  static_cast<std::string*>(into)->append(data, size * count);
+  return size * count;
+}
+
+Result Post(const std::string& url,
+            const std::string& body,
+            const std::string& header = "") {
+  Result result;
+  CURL* curl = curl_easy_init();
+  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+  if (!header.empty())
+    headers = curl_slist_append(headers, header.c_str());
+  curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body.data());
+  curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
+  curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &Append);
+  curl_easy_setopt(curl, CURLOPT_WRITEDATA, &result.body);
+  curl_easy_setopt(curl, CURLOPT_TIMEOUT, 60L);
+  result.code = curl_easy_perform(curl);
+  curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &result.status);
+  curl_slist_free_all(headers);
+  curl_easy_cleanup(curl);
+  return result;
+}
+
+// Keeps responders until the test answers them.
+class Held {
+ public:
+  HttpHandler Handler() {
+    return [this](HttpRequest, HttpResponder responder) {
+      std::lock_guard lock(m_mutex);
+      m_responders.push_back(std::move(responder));
+      m_changed.notify_all();
+    };
+  }
+  bool WaitFor(size_t count) {
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_for(lock, seconds(60),
+                              [&] { return m_responders.size() >= count; });
+  }
+  std::vector<HttpResponder> Take() {
+    std::lock_guard lock(m_mutex);
+    return std::move(m_responders);
+  }
+
+ private:
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::vector<HttpResponder> m_responders;
+};
+
+std::string Url(const HttpListener& listener, const std::string& path) {
+  return "http://" + listener.address() + path;
+}
+
+// Guards against a request that loses its path, arguments, headers or body.
+TEST(HttpListener, HandsOverRequestAndResponse) {
+  HttpListener listener({}, [](HttpRequest request, HttpResponder responder) {
+    responder({.status = 201,
+               .body = request.method + " " + request.path + " " +
+                       request.QueryArgument("k").value_or("-") + " " +
+                       request.Header("x-name").value_or("-") + " " +
+                       request.body});
+  });
+  const Result result =
+      Post(Url(listener, "/a%20b?k=v%2F1"), "body", "X-Name: n");
+  EXPECT_EQ(result.status, 201);
+  EXPECT_EQ(result.body, "POST /a b v/1 n body");
+}
+
+// Guards against requests in flight that each hold a listener thread.
+TEST(HttpListener, WaitingRequestsHoldNoThread) {
+  constexpr size_t kRequests = 16;
+  Held held;
+  HttpListener listener({.threads = 2}, held.Handler());
+  std::vector<std::future<Result>> results;
+  for (size_t i = 0; i < kRequests; ++i) {
+    results.push_back(std::async(
+        std::launch::async, [&] { return Post(Url(listener, "/"), "x"); }));
+  }
+  ASSERT_TRUE(held.WaitFor(kRequests));
+  EXPECT_EQ(listener.in_flight(), kRequests);
+  std::vector<HttpResponder> responders = held.Take();
+  for (size_t i = 0; i < kRequests; ++i)
+    responders[i]({.body = "ok"});
+  for (auto& result : results)
+    EXPECT_EQ(result.get().body, "ok");
+}
+
+// Guards against a caller that waits forever because a responder was lost.
+TEST(HttpListener, DroppedResponderAnswers500) {
+  HttpListener listener({}, [](HttpRequest, HttpResponder) {});
+  EXPECT_EQ(Post(Url(listener, "/"), "x").status, 500);
+}
+
+// Guards against a second answer that reaches another request.
+TEST(HttpListener, SecondAnswerIsIgnored) {
+  HttpListener listener({}, [](HttpRequest, HttpResponder responder) {
+    responder({.body = "first"});
+    responder({.body = "second"});
+  });
+  for (int i = 0; i < 5; ++i)
+    EXPECT_EQ(Post(Url(listener, "/"), "x").body, "first");
+}
+
+HttpHandler RefusalHandler() {
+  return [](HttpRequest request, HttpResponder responder) {
+    responder({.status = request.refused_status.value_or(200),
+               .body = std::to_string(request.body.size())});
+  };
+}
+
+// Guards against bodies over the limit that use memory or pass truncated.
+TEST(HttpListener, RefusesOversizedBody) {
+  HttpListener listener({.max_body_bytes = 1000}, RefusalHandler());
+  EXPECT_EQ(Post(Url(listener, "/"), std::string(1000, 'x')).body, "1000");
+  const Result refused = Post(Url(listener, "/"), std::string(1001, 'x'));
+  EXPECT_EQ(refused.status, 413);
+  EXPECT_EQ(refused.body, "0");
+}
+
+// Guards against headers over the limit.
+TEST(HttpListener, RefusesOversizedHeaders) {
+  HttpListener listener({.max_header_bytes = 4096}, RefusalHandler());
+  EXPECT_EQ(
+      Post(Url(listener, "/"), "x", "X-A: " + std::string(3000, 'a')).status,
+      200);
+  EXPECT_EQ(
+      Post(Url(listener, "/"), "x", "X-A: " + std::string(5000, 'a')).status,
+      431);
+  // Beyond the memory of a connection the library refuses by itself.
+  EXPECT_EQ(
+      Post(Url(listener, "/"), "x", "X-A: " + std::string(60000, 'a')).status,
+      431);
+}
+
+int Connect(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port =
+      htons(static_cast<uint16_t>(std::stoi(address.substr(colon + 1))));
+  inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to)), 0);
+  return fd;
+}
+
+// Guards against slow senders that hold connections for good.
+TEST(HttpListener, ClosesConnectionOfSlowSender) {
+  HttpListener listener({.idle_timeout = seconds(1)}, RefusalHandler());
+  const int fd = Connect(listener.address());
+  const std::string part = "POST / HTTP/1.1\r\nHost: x\r\nContent-Le";
+  ASSERT_EQ(write(fd, part.data(), part.size()),
+            static_cast<ssize_t>(part.size()));
+  char byte = 0;
+  while (read(fd, &byte, 1) > 0) {
+  }
+  close(fd);
+  EXPECT_EQ(listener.in_flight(), 0U);
+}
+
+// Guards against a stop that cuts a response in flight.
+TEST(HttpListener, StopWaitsForResponsesInFlight) {
+  Held held;
+  HttpListener listener({}, held.Handler());
+  auto result = std::async(std::launch::async,
+                           [&] { return Post(Url(listener, "/"), "x"); });
+  ASSERT_TRUE(held.WaitFor(1));
+  auto stop = std::async(std::launch::async,
+                         [&] { return listener.Stop(seconds(60)); });
+  const std::string large(4'000'000, 'y');
+  held.Take().front()({.body = large});
+  EXPECT_EQ(stop.get(), 0U);
+  EXPECT_TRUE(result.get().body == large);
+}
+
+// Guards against a stop that never ends, or that crashes when a responder is
+// called after it.
+TEST(HttpListener, StopAtItsLimitAnswers503) {
+  Held held;
+  HttpListener listener({}, held.Handler());
+  auto result = std::async(std::launch::async,
+                           [&] { return Post(Url(listener, "/"), "x"); });
+  ASSERT_TRUE(held.WaitFor(1));
+  EXPECT_EQ(listener.Stop(Duration(0)), 1U);
+  EXPECT_EQ(result.get().status, 503);
+  held.Take().front()({.body = "late"});
+}
+
+// Guards against the loss of a connection that waits in the backlog.
+TEST(HttpListener, StopServesRequestSentBefore) {
+  HttpListener listener({.threads = 1}, RefusalHandler());
+  const int fd = Connect(listener.address());
+  const std::string request =
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+  ASSERT_EQ(write(fd, request.data(), request.size()),
+            static_cast<ssize_t>(request.size()));
+  listener.Stop(seconds(60));
+  char buffer[12] = {};
+  EXPECT_EQ(recv(fd, buffer, sizeof(buffer), MSG_WAITALL), 12);
+  EXPECT_EQ(std::string(buffer, 12), "HTTP/1.1 200");
+  close(fd);
+}
+
+// Guards against an unclear start with a bad or taken address.
+TEST(HttpListener, BadAddressThrows) {
+  for (const char* address : {"", "nonsense", "127.0.0.1", "127.0.0.1:x",
+                              "127.0.0.1:70000", "localhost:1"})
+    EXPECT_THROW(HttpListener({.address = address}, RefusalHandler()),
+                 std::runtime_error)
+        << address;
+  HttpListener first({}, RefusalHandler());
+  EXPECT_THROW(HttpListener({.address = first.address()}, RefusalHandler()),
+               std::runtime_error);
+}
+
+}  // namespace
+}  // namespace wasabihook
