--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -76,6 +76,9 @@
 inline constexpr Duration kDrainNotice = seconds(5);
 inline constexpr Duration kDrainLimit = seconds(60);
 
+// --- Threads and logs ---
+inline constexpr uint32_t kTimerThreads = 2;
+
 // --- Sharding of state ---
 inline constexpr size_t kStateShards = 16;
 
--- a/src/runtime/http_listener.cc
+++ b/src/runtime/http_listener.cc
@@ -23,7 +23,7 @@
 constexpr int kServiceUnavailable = 503;
 // Bytes of each connection's memory pool beyond the headers: read buffer,
 // response header and libmicrohttpd's own entries.
-constexpr size_t kConnectionOverheadBytes = 16 * 1024;
+constexpr size_t kConnectionOverheadBytes = 16'384;
 // An oversized body up to this multiple of the limit is read and discarded, so
 // that the caller gets the answer; closing with unread data would reset the
 // connection before the caller reads it.
--- /dev/null
+++ b/src/runtime/thread_timer_service.cc
@@ -0,0 +1,146 @@
+#include "runtime/thread_timer_service.h"
+
+#include <algorithm>
+#include <chrono>
+#include <exception>
+
+#include "runtime/logging.h"
+
+namespace wasabihook {
+namespace {
+
+// Later than any process lives; also keeps `now + delay` from overflowing.
+constexpr Duration kMaxDelay = std::chrono::hours(24 * 365 * 100);
+
+std::chrono::steady_clock::time_point ToSteady(TimePoint time) {
+  return std::chrono::steady_clock::time_point(time.since_epoch);
+}
+
+}  // namespace
+
+ThreadTimerService::ThreadTimerService(uint32_t threads) {
+  for (uint32_t i = 0; i < std::max(1U, threads); ++i)
+    m_threads.emplace_back([this] { RunThread(); });
+}
+
+ThreadTimerService::~ThreadTimerService() {
+  {
+    std::lock_guard lock(m_mutex);
+    m_stopping = true;
+  }
+  m_changed.notify_all();
+  m_turn.notify_all();
+  for (std::thread& thread : m_threads)
+    thread.join();
+}
+
+TimePoint ThreadTimerService::Now() const {
+  return {std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch())};
+}
+
+WallTime ThreadTimerService::WallNow() const {
+  return {std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())};
+}
+
+TimerHandle ThreadTimerService::SubscribeOnce(Duration delay,
+                                              Callback callback) {
+  return Subscribe(delay, std::nullopt, std::move(callback));
+}
+
+TimerHandle ThreadTimerService::SubscribeEvery(Duration period,
+                                               Callback callback) {
+  // A period of 0 would keep a thread busy for good.
+  const Duration positive = std::max(period, Duration(1));
+  return Subscribe(positive, positive, std::move(callback));
+}
+
+TimerHandle ThreadTimerService::Subscribe(Duration delay,
+                                          std::optional<Duration> period,
+                                          Callback callback) {
+  const TimePoint due = Now() + std::clamp(delay, Duration(0), kMaxDelay);
+  std::lock_guard lock(m_mutex);
+  const uint64_t id = m_next_id++;
+  Enqueue(id, due, {std::move(callback), period});
+  return TimerHandle(id);
+}
+
+void ThreadTimerService::Enqueue(uint64_t id, TimePoint due, Entry entry) {
+  const auto [position, inserted] =
+      m_queue.emplace(QueueKey{due, id}, std::move(entry));
+  m_due_by_id[id] = due;
+  if (position != m_queue.begin())
+    return;
+  m_changed.notify_one();
+}
+
+void ThreadTimerService::Unsubscribe(TimerHandle handle) {
+  // Destroyed after the lock is released: a callback may own anything.
+  std::map<QueueKey, Entry>::node_type removed;
+  std::lock_guard lock(m_mutex);
+  const auto found = m_due_by_id.find(handle.value());
+  if (found == m_due_by_id.end())
+    return;
+  if (found->second)
+    removed = m_queue.extract({*found->second, handle.value()});
+  m_due_by_id.erase(found);
+}
+
+// Returns with the first entry due, or with `m_stopping`.
+void ThreadTimerService::WaitForWork(std::unique_lock<std::mutex>& lock) {
+  m_turn.wait(lock, [this] { return m_stopping || !m_has_leader; });
+  m_has_leader = true;
+  while (!m_stopping) {
+    if (m_queue.empty()) {
+      m_changed.wait(lock);
+      continue;
+    }
+    const TimePoint due = m_queue.begin()->first.first;
+    if (due <= Now())
+      break;
+    m_changed.wait_until(lock, ToSteady(due));
+  }
+  m_has_leader = false;
+}
+
+void ThreadTimerService::RunThread() {
+  std::unique_lock lock(m_mutex);
+  while (true) {
+    WaitForWork(lock);
+    if (m_stopping)
+      return;
+    auto node = m_queue.extract(m_queue.begin());
+    const uint64_t id = node.key().second;
+    m_due_by_id[id] = std::nullopt;
+    m_turn.notify_one();
+    RunEntry(lock, id, std::move(node.mapped()));
+  }
+}
+
+void ThreadTimerService::RunEntry(std::unique_lock<std::mutex>& lock,
+                                  uint64_t id,
+                                  Entry entry) {
+  if (!entry.period)
+    m_due_by_id.erase(id);
+  lock.unlock();
+  try {
+    entry.callback();
+  } catch (const std::exception& error) {
+    Log(LogLevel::kError, "timer_callback_failed", {{"reason", error.what()}});
+  }
+  if (!entry.period)
+    entry.callback = nullptr;
+  lock.lock();
+  if (!entry.period)
+    return;
+  if (m_due_by_id.contains(id)) {
+    Enqueue(id, Now() + *entry.period, std::move(entry));
+    return;
+  }
+  lock.unlock();
+  entry.callback = nullptr;
+  lock.lock();
+}
+
+}  // namespace wasabihook
--- /dev/null
+++ b/src/runtime/thread_timer_service.h
@@ -0,0 +1,66 @@
+#ifndef SRC_RUNTIME_THREAD_TIMER_SERVICE_H_
+#define SRC_RUNTIME_THREAD_TIMER_SERVICE_H_
+
+// PRIVATE HEADER.
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "wasabihook/config.h"
+#include "wasabihook/timer_service.h"
+
+namespace wasabihook {
+
+// TimerService over the steady clock and a small pool of threads. A periodic
+// callback never runs twice at the same time: its next period starts after it
+// returns. An exception from a callback is logged and otherwise ignored.
+class ThreadTimerService : public TimerService {
+ public:
+  explicit ThreadTimerService(uint32_t threads = config::kTimerThreads);
+  // Drops callbacks that are not due and waits for those that run. Must not be
+  // called from a callback.
+  ~ThreadTimerService() override;
+
+  TimePoint Now() const override;
+  WallTime WallNow() const override;
+  TimerHandle SubscribeOnce(Duration delay, Callback callback) override;
+  TimerHandle SubscribeEvery(Duration period, Callback callback) override;
+  void Unsubscribe(TimerHandle handle) override;
+
+ private:
+  struct Entry {
+    Callback callback;
+    std::optional<Duration> period;
+  };
+  using QueueKey = std::pair<TimePoint, uint64_t>;
+
+  TimerHandle Subscribe(Duration delay,
+                        std::optional<Duration> period,
+                        Callback callback);
+  void Enqueue(uint64_t id, TimePoint due, Entry entry);
+  void RunThread();
+  void WaitForWork(std::unique_lock<std::mutex>& lock);
+  void RunEntry(std::unique_lock<std::mutex>& lock, uint64_t id, Entry entry);
+
+  mutable std::mutex m_mutex;
+  std::condition_variable m_changed;
+  bool m_stopping = false;
+  // One thread waits for the next due time, the others for a turn.
+  bool m_has_leader = false;
+  uint64_t m_next_id = 1;
+  std::map<QueueKey, Entry> m_queue;
+  // Due time of each live handle; empty while its callback runs.
+  std::unordered_map<uint64_t, std::optional<TimePoint>> m_due_by_id;
+  std::condition_variable m_turn;
+  std::vector<std::thread> m_threads;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_RUNTIME_THREAD_TIMER_SERVICE_H_
