--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -65,6 +65,8 @@
 inline constexpr Duration kDigestPeriod = milliseconds(500);
 inline constexpr Duration kWatchTimeout = seconds(30);
 inline constexpr Duration kInstanceListPeriod = seconds(1);
+// Platform calls for settings and membership, per data centre and second.
+inline constexpr uint32_t kPlatformCallsPerSecond = 100;
 inline constexpr uint32_t kRememberedChangeIds = 16;
 inline constexpr size_t kMaxSettingsBytes = 1024 * 1024;
 
--- a/include/wasabihook/settings.h
+++ b/include/wasabihook/settings.h
@@ -71,6 +71,26 @@
 
 using TeamSettingsPtr = std::shared_ptr<const TeamSettings>;
 
+// Settings of the whole deployment (the subtree `fleet`).
+struct FleetSettings {
+  Revision revision;
+
+  // Propagation of settings and membership.
+  uint32_t watchers_per_data_centre = config::kWatchersPerDataCentre;
+  Duration digest_period = config::kDigestPeriod;
+  Duration watch_timeout = config::kWatchTimeout;
+  Duration instance_list_period = config::kInstanceListPeriod;
+  // Calls to the platform that all instances of one data centre together may
+  // make each second for settings and membership.
+  uint32_t platform_calls_per_second = config::kPlatformCallsPerSecond;
+
+  // Shutdown.
+  Duration drain_notice = config::kDrainNotice;
+  Duration drain_limit = config::kDrainLimit;
+};
+
+using FleetSettingsPtr = std::shared_ptr<const FleetSettings>;
+
 // Read access to the settings in force. Thread-safe.
 class SettingsView {
  public:
--- /dev/null
+++ b/src/decision/settings/settings_registry.cc
@@ -0,0 +1,237 @@
+#include "decision/settings/settings_registry.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "decision/settings/settings_parser.h"
+
+namespace wasabihook {
+
+std::string ToString(SettingsSource source) {
+  switch (source) {
+    case SettingsSource::kStore:
+      return "store";
+    case SettingsSource::kPeer:
+      return "peer";
+    case SettingsSource::kFile:
+      return "file";
+  }
+  return "unknown";
+}
+
+SettingsRegistry::SettingsRegistry(const TimerService* timers)
+    : m_timers(timers),
+      m_default_fleet(std::make_shared<const FleetSettings>()) {}
+
+OfferOutcome SettingsRegistry::Offer(const std::string& subtree,
+                                     Revision revision,
+                                     const std::string& text,
+                                     SettingsSource source) {
+  if (!IsSubtreeName(subtree) || !Wants({subtree, revision})) {
+    return OfferOutcome::kStale;
+  }
+  // Parsed without the lock: a text of 1 MB takes milliseconds.
+  const Parsed parsed = Parse(subtree, revision, text);
+  Value value{revision, std::make_shared<const std::string>(text)};
+  OfferOutcome outcome = OfferOutcome::kStale;
+  {
+    Shard& shard = ShardOf(subtree);
+    std::lock_guard lock(shard.mutex);
+    outcome = Store(shard.subtrees[subtree], std::move(value), parsed, source);
+  }
+  if (outcome == OfferOutcome::kApplied) {
+    Notify({subtree, revision, parsed.team, parsed.fleet});
+  }
+  return outcome;
+}
+
+SettingsRegistry::Parsed SettingsRegistry::Parse(const std::string& subtree,
+                                                 Revision revision,
+                                                 const std::string& text) {
+  Parsed parsed;
+  try {
+    if (subtree == kFleetSubtree) {
+      parsed.fleet = std::make_shared<const FleetSettings>(
+          ParseFleetSettings(revision, text).settings);
+    } else {
+      const TeamId team(subtree.substr(kTeamSubtreePrefix.size()));
+      parsed.team = std::make_shared<const TeamSettings>(
+          ParseTeamSettings(team, revision, text).settings);
+    }
+  } catch (const InvalidSettings& error) {
+    parsed.error = error.what();
+  }
+  return parsed;
+}
+
+bool SettingsRegistry::IsWanted(const Subtree* known, Revision revision) {
+  if (known == nullptr) {
+    return revision > Revision(0);
+  }
+  // A value between the last good one and a rejected newer one may be valid.
+  const bool was_rejected =
+      known->rejected && known->rejected->revision == revision;
+  return revision > known->newest.revision ||
+         (revision > known->good.revision && !was_rejected);
+}
+
+OfferOutcome SettingsRegistry::Store(Subtree& known,
+                                     Value value,
+                                     const Parsed& parsed,
+                                     SettingsSource source) {
+  if (!IsWanted(&known, value.revision)) {
+    return OfferOutcome::kStale;
+  }
+  const Revision revision = value.revision;
+  if (revision > known.newest.revision) {
+    known.newest = value;
+  }
+  if (parsed.error) {
+    if (known.newest.revision == revision) {
+      known.rejected = {revision, *parsed.error, m_timers->WallNow()};
+    }
+    return OfferOutcome::kRejected;
+  }
+  known.good = std::move(value);
+  known.source = source;
+  known.applied_at = m_timers->WallNow();
+  known.team = parsed.team;
+  known.fleet = parsed.fleet;
+  if (known.rejected && known.rejected->revision < revision) {
+    known.rejected.reset();
+  }
+  return OfferOutcome::kApplied;
+}
+
+TeamSettingsPtr SettingsRegistry::Team(const TeamId& team) const {
+  const std::string subtree = std::string(kTeamSubtreePrefix) + team.value();
+  const Shard& shard = ShardOf(subtree);
+  std::lock_guard lock(shard.mutex);
+  const auto it = shard.subtrees.find(subtree);
+  return it != shard.subtrees.end() ? it->second.team : nullptr;
+}
+
+FleetSettingsPtr SettingsRegistry::Fleet() const {
+  const Shard& shard = ShardOf(kFleetSubtree);
+  std::lock_guard lock(shard.mutex);
+  const auto it = shard.subtrees.find(kFleetSubtree);
+  return it != shard.subtrees.end() && it->second.fleet ? it->second.fleet
+                                                        : m_default_fleet;
+}
+
+SubscriptionHandle SettingsRegistry::Subscribe(Subscriber subscriber) {
+  std::lock_guard lock(m_subscriber_mutex);
+  const uint64_t id = m_next_subscriber++;
+  m_subscribers[id] = std::make_shared<const Subscriber>(std::move(subscriber));
+  return SubscriptionHandle(id);
+}
+
+void SettingsRegistry::Unsubscribe(SubscriptionHandle handle) {
+  std::lock_guard lock(m_subscriber_mutex);
+  m_subscribers.erase(handle.value());
+}
+
+void SettingsRegistry::Notify(const SettingsChange& change) {
+  std::vector<std::shared_ptr<const Subscriber>> subscribers;
+  {
+    std::lock_guard lock(m_subscriber_mutex);
+    for (const auto& [id, subscriber] : m_subscribers) {
+      subscribers.push_back(subscriber);
+    }
+  }
+  for (const auto& subscriber : subscribers) {
+    (*subscriber)(change);
+  }
+}
+
+template <typename Visit>
+void SettingsRegistry::ForEach(Visit visit) const {
+  std::map<std::string, Subtree> all;
+  for (const Shard& shard : m_shards) {
+    std::lock_guard lock(shard.mutex);
+    all.insert(shard.subtrees.begin(), shard.subtrees.end());
+  }
+  for (const auto& [name, subtree] : all) {
+    visit(name, subtree);
+  }
+}
+
+std::vector<SubtreeStatus> SettingsRegistry::Status() const {
+  std::vector<SubtreeStatus> list;
+  ForEach([&](const std::string& name, const Subtree& subtree) {
+    list.push_back({name, subtree.newest.revision, subtree.good.revision,
+                    subtree.source, subtree.applied_at, subtree.rejected});
+  });
+  return list;
+}
+
+std::vector<SubtreeRevision> SettingsRegistry::Revisions() const {
+  std::vector<SubtreeRevision> list;
+  ForEach([&](const std::string& name, const Subtree& subtree) {
+    const Revision good = subtree.good.revision;
+    if (good > Revision(0)) {
+      list.push_back({name, good});
+    }
+    if (subtree.newest.revision != good) {
+      list.push_back({name, subtree.newest.revision});
+    }
+  });
+  return list;
+}
+
+uint64_t SettingsRegistry::Hash() const {
+  std::string text;
+  for (const auto& [subtree, revision] : Revisions()) {
+    text += subtree + '\n' + std::to_string(revision.value()) + '\n';
+  }
+  return XXH64(text.data(), text.size(), 0);
+}
+
+Revision SettingsRegistry::GreatestRevision() const {
+  Revision greatest;
+  ForEach([&](const std::string&, const Subtree& subtree) {
+    greatest = std::max(greatest, subtree.newest.revision);
+  });
+  return greatest;
+}
+
+bool SettingsRegistry::Wants(const SubtreeRevision& offered) const {
+  const Shard& shard = ShardOf(offered.subtree);
+  std::lock_guard lock(shard.mutex);
+  const auto it = shard.subtrees.find(offered.subtree);
+  return IsWanted(it != shard.subtrees.end() ? &it->second : nullptr,
+                  offered.revision);
+}
+
+std::vector<PulledSubtree> SettingsRegistry::Texts(
+    const std::string& subtree) const {
+  const Shard& shard = ShardOf(subtree);
+  std::lock_guard lock(shard.mutex);
+  std::vector<PulledSubtree> texts;
+  const auto it = shard.subtrees.find(subtree);
+  if (it == shard.subtrees.end()) {
+    return texts;
+  }
+  const auto& [good, newest] = std::tie(it->second.good, it->second.newest);
+  if (good.text) {
+    texts.push_back({subtree, good.revision, *good.text});
+  }
+  if (newest.text && newest.revision != good.revision) {
+    texts.push_back({subtree, newest.revision, *newest.text});
+  }
+  return texts;
+}
+
+SettingsRegistry::Shard& SettingsRegistry::ShardOf(std::string_view subtree) {
+  return m_shards[std::hash<std::string_view>{}(subtree) % m_shards.size()];
+}
+
+const SettingsRegistry::Shard& SettingsRegistry::ShardOf(
+    std::string_view subtree) const {
+  return m_shards[std::hash<std::string_view>{}(subtree) % m_shards.size()];
+}
+
+}  // namespace wasabihook
