Count burn of service-level objectives per team

Requests that miss a team's latency or coverage objective were not counted anywhere, so operators could not see how fast a team uses up its error budget.

A finished minute becomes an immutable bucket with a sequence number that is kept until it is durable.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -60,6 +60,27 @@
 inline constexpr Fraction kLatencyTarget{0.99};
 inline constexpr Fraction kCoverageTarget{0.999};
 
+// --- Burn counts ---
+// Period at which the aggregator of a data centre collects and writes counts.
+inline constexpr Duration kBurnCollectPeriod = seconds(60);
+// One-minute buckets that an instance keeps while they cannot be made durable:
+// six hours of an outage of the platform.
+inline constexpr size_t kBurnRetainedBuckets = 360;
+// Bounds the memory of the aggregator when instances catch up after an outage.
+inline constexpr size_t kBurnBucketsPerResponse = 10;
+inline constexpr size_t kBurnPeerCallsInFlight = 16;
+inline constexpr size_t kBurnCausesPerCell = 16;
+// Ages up to which counts are kept by the minute, by five minutes and by the
+// hour. Each exceeds the report windows that it serves by a margin.
+inline constexpr Duration kBurnMinuteCells = minutes(75);
+inline constexpr Duration kBurnFiveMinuteCells = hours(7);
+inline constexpr Duration kBurnHourCells = hours(74);
+// An instance that could not be collected for this long loses older counts.
+inline constexpr Duration kBurnWatermarkRetention = hours(6);
+// Burn rates of the alerts. At 14.4, one hour uses up 20 % of a budget of 3 d.
+inline constexpr double kPageBurnRate = 14.4;
+inline constexpr double kTicketBurnRate = 1.0;
+
 // --- Settings spread and membership ---
 inline constexpr uint32_t kWatchersPerDataCentre = 2;
 inline constexpr Duration kDigestPeriod = milliseconds(500);
--- a/include/wasabihook/peer.h
+++ b/include/wasabihook/peer.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "wasabihook/burn_counts.h"
 #include "wasabihook/ids.h"
 #include "wasabihook/platform.h"
 #include "wasabihook/quarantine.h"
@@ -61,8 +62,25 @@
   std::vector<PulledSubtree> subtrees;
 };
 
-using PeerRequest = std::variant<DigestRequest, PullRequest>;
-using PeerResponse = std::variant<DigestResponse, PullResponse>;
+// Sent by the aggregator of a data centre to collect burn counts, and by a
+// leaving instance to hand over its last ones.
+struct BurnCountsRequest {
+  PeerIdentity from;
+  // Buckets of the receiver up to this sequence are durable.
+  uint64_t acknowledged = 0;
+  // Buckets of the sender; empty unless it is leaving.
+  std::vector<BurnBucket> offered;
+};
+
+struct BurnCountsResponse {
+  PeerIdentity from;
+  // Oldest buckets that are not acknowledged, by sequence.
+  std::vector<BurnBucket> buckets;
+};
+
+using PeerRequest = std::variant<DigestRequest, PullRequest, BurnCountsRequest>;
+using PeerResponse =
+    std::variant<DigestResponse, PullResponse, BurnCountsResponse>;
 
 // Calls other instances. Thread-safe. One callback for each call, never from
 // within Call(); empty if the peer did not answer in time.
