--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -26,6 +26,13 @@
 inline constexpr Duration kCallerIdleTimeout = seconds(30);
 inline constexpr Duration kCallerBodyTimeout = seconds(30);
 inline constexpr uint32_t kListenerThreads = 2;
+// Ids of callers: request id, idempotency key, team and index set.
+inline constexpr size_t kMaxIdBytes = 128;
+inline constexpr size_t kMaxRecordKeyBytes = 1024;
+inline constexpr int kMaxJsonDepth = 64;
+inline constexpr Duration kMaxCallerDeadline = hours(1);
+// Greatest Unix time in milliseconds that is accepted (year 9999).
+inline constexpr int64_t kMaxUnixMillis = 253'402'300'799'999;
 // Time a stopping listener gives a new connection to send its first request.
 inline constexpr Duration kStopLinger = milliseconds(200);
 
