--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -85,6 +85,7 @@
 
 // --- Threads and logs ---
 inline constexpr uint32_t kTimerThreads = 2;
+inline constexpr uint32_t kBackendThreads = 2;
 
 // --- Sharding of state ---
 inline constexpr size_t kStateShards = 16;
