Add the wire format and transport between instances

JSON-RPC 2.0 by libjsonrpccpp: strict decoder with typed errors, a server half that takes HTTP bodies, and a client half over libcurl with deadlines and kept connections, used from a small thread pool.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -70,6 +70,19 @@
 inline constexpr uint32_t kRememberedChangeIds = 16;
 inline constexpr size_t kMaxSettingsBytes = 1024 * 1024;
 
+// --- Calls between instances ---
+inline constexpr Duration kPeerCallTimeout = milliseconds(1000);
+inline constexpr Duration kPeerConnectTimeout = milliseconds(250);
+inline constexpr uint32_t kPeerThreads = 2;
+// Kept connections to peers, per thread.
+inline constexpr uint32_t kPeerConnectionsPerThread = 16;
+inline constexpr size_t kMaxQueuedPeerCalls = 256;
+inline constexpr size_t kMaxPeerMessageBytes = size_t{4} * 1024 * 1024;
+// A pull response stops after this many bytes of settings; the rest is pulled
+// with the next call.
+inline constexpr size_t kMaxPulledBytes = size_t{2} * 1024 * 1024;
+inline constexpr uint32_t kMaxPeerListLength = 10000;
+
 // --- Shutdown ---
 inline constexpr Duration kDrainNotice = seconds(5);
 inline constexpr Duration kDrainLimit = seconds(60);
--- /dev/null
+++ b/src/peers/instance/http_peer_transport.h
@@ -0,0 +1,65 @@
+#ifndef SRC_PEERS_INSTANCE_HTTP_PEER_TRANSPORT_H_
+#define SRC_PEERS_INSTANCE_HTTP_PEER_TRANSPORT_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "wasabihook/config.h"
+#include "wasabihook/peer.h"
+
+namespace wasabihook {
+
+struct PeerTransportOptions {
+  uint32_t threads = config::kPeerThreads;
+  uint32_t kept_connections = config::kPeerConnectionsPerThread;
+  // For one call, the connect included; time in the queue does not count.
+  Duration timeout = config::kPeerCallTimeout;
+  Duration connect_timeout = config::kPeerConnectTimeout;
+  size_t max_queued = config::kMaxQueuedPeerCalls;
+};
+
+// PeerTransport over JSON-RPC 2.0 and HTTP with a small pool of threads, which
+// also run the callbacks. Calls beyond the queue limit fail at once. The
+// destructor ends with every callback called.
+class HttpPeerTransport : public PeerTransport {
+ public:
+  explicit HttpPeerTransport(PeerTransportOptions options = {});
+  ~HttpPeerTransport() override;
+  HttpPeerTransport(const HttpPeerTransport&) = delete;
+  HttpPeerTransport& operator=(const HttpPeerTransport&) = delete;
+
+  void Call(const std::string& address,
+            PeerRequest request,
+            std::function<void(std::optional<PeerResponse>)> done) override;
+
+  // Body bytes sent and received so far.
+  uint64_t bytes() const { return m_bytes.load(); }
+
+ private:
+  struct Job {
+    std::string address;
+    PeerRequest request;
+    std::function<void(std::optional<PeerResponse>)> done;
+    bool refused = false;
+  };
+
+  void Run();
+  std::optional<Job> Next(bool& stopping);
+
+  const PeerTransportOptions m_options;
+  std::mutex m_mutex;
+  std::condition_variable m_wake;
+  std::deque<Job> m_queue;
+  bool m_stopping = false;
+  std::atomic<uint64_t> m_bytes{0};
+  std::vector<std::thread> m_threads;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_PEERS_INSTANCE_HTTP_PEER_TRANSPORT_H_
--- /dev/null
+++ b/src/peers/instance/peer_codec.h
@@ -0,0 +1,55 @@
+#ifndef SRC_PEERS_INSTANCE_PEER_CODEC_H_
+#define SRC_PEERS_INSTANCE_PEER_CODEC_H_
+
+// Wire format of the messages between instances: members of JSON-RPC 2.0
+// params and results. Decoding checks every type, range and length. Members
+// that are not known are ignored, so that a newer version may add some while
+// versions are mixed.
+
+#include <jsoncpp/json/json.h>
+
+#include <stdexcept>
+#include <string>
+
+#include "wasabihook/peer.h"
+
+namespace wasabihook {
+
+enum class PeerDecodeFault : uint8_t {
+  kMissing,
+  kWrongType,
+  kOutOfRange,
+  kTooLong,
+  kUnknownMethod,
+};
+
+class PeerDecodeError : public std::runtime_error {
+ public:
+  PeerDecodeError(PeerDecodeFault fault, std::string path);
+  PeerDecodeFault fault() const { return m_fault; }
+  // Member at fault, such as "from.address".
+  const std::string& path() const { return m_path; }
+
+ private:
+  PeerDecodeFault m_fault;
+  std::string m_path;
+};
+
+inline constexpr char kDigestMethod[] = "digest";
+inline constexpr char kPullMethod[] = "pull";
+// HTTP path of the peer protocol.
+inline constexpr char kPeerPath[] = "/v1/peer";
+
+std::string MethodOf(const PeerRequest& request);
+Json::Value Encode(const PeerRequest& request);
+Json::Value Encode(const PeerResponse& response);
+
+// Both throw PeerDecodeError.
+PeerRequest DecodeRequest(const std::string& method, const Json::Value& params);
+// `method` is that of the request.
+PeerResponse DecodeResponse(const std::string& method,
+                            const Json::Value& result);
+
+}  // namespace wasabihook
+
+#endif  // SRC_PEERS_INSTANCE_PEER_CODEC_H_
--- /dev/null
+++ b/src/peers/instance/peer_rpc_client.h
@@ -0,0 +1,54 @@
+#ifndef SRC_PEERS_INSTANCE_PEER_RPC_CLIENT_H_
+#define SRC_PEERS_INSTANCE_PEER_RPC_CLIENT_H_
+
+// Client half of the peer protocol. This header is also read as C++14, because
+// the client headers of libjsonrpccpp do not compile as C++17 or later.
+
+#include <jsoncpp/json/json.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+namespace wasabihook {
+
+// The peer did not answer in time, or answered with an error.
+class PeerCallError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct PeerRpcOptions {
+  std::string path;
+  int64_t timeout_ms = 0;  // For the whole call.
+  int64_t connect_timeout_ms = 0;
+  int64_t kept_connections = 0;
+  size_t max_response_bytes = 0;
+};
+
+// Calls methods of peers, one call at a time, and keeps connections between
+// calls. A connection whose call failed is closed. Not thread-safe.
+class PeerRpcClient {
+ public:
+  explicit PeerRpcClient(PeerRpcOptions options);
+  ~PeerRpcClient();
+  PeerRpcClient(const PeerRpcClient&) = delete;
+  PeerRpcClient& operator=(const PeerRpcClient&) = delete;
+
+  // Calls `method` at "ip:port" and returns the result. Throws PeerCallError.
+  Json::Value Call(const std::string& address,
+                   const std::string& method,
+                   const Json::Value& params);
+  // Body bytes sent and received so far.
+  uint64_t bytes() const;
+
+ private:
+  class Connector;
+  std::unique_ptr<Connector> m_connector;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_PEERS_INSTANCE_PEER_RPC_CLIENT_H_
--- /dev/null
+++ b/src/peers/instance/peer_rpc_server.h
@@ -0,0 +1,33 @@
+#ifndef SRC_PEERS_INSTANCE_PEER_RPC_SERVER_H_
+#define SRC_PEERS_INSTANCE_PEER_RPC_SERVER_H_
+
+#include <memory>
+#include <string>
+
+#include "wasabihook/peer.h"
+
+namespace wasabihook {
+
+// Server half of the peer protocol: decodes JSON-RPC 2.0 requests, passes them
+// to a PeerHandler and encodes its responses. Thread-safe.
+class PeerRpcServer {
+ public:
+  explicit PeerRpcServer(PeerHandler handler);
+  ~PeerRpcServer();
+  PeerRpcServer(const PeerRpcServer&) = delete;
+  PeerRpcServer& operator=(const PeerRpcServer&) = delete;
+
+  // Returns the JSON-RPC response to the HTTP body `request`; malformed
+  // requests get an error response.
+  std::string Handle(const std::string& request);
+
+ private:
+  class Connector;
+  class Methods;
+  std::unique_ptr<Connector> m_connector;
+  std::unique_ptr<Methods> m_methods;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_PEERS_INSTANCE_PEER_RPC_SERVER_H_
