--- a/src/decision/query/query.cc
+++ b/src/decision/query/query.cc
@@ -247,7 +247,7 @@
 }
 
 void Query::OnWake(TimePoint now, Actions& actions) {
-  if (!m_admitted || now >= m_input.deadline) {
+  if (!m_admitted_at || now >= m_input.deadline) {
     MaybeFinish(now, actions);
     return;
   }
@@ -299,7 +299,7 @@
 
 TimePoint Query::NextWake() const {
   TimePoint next = m_input.deadline;
-  if (m_admitted && !m_soft_deadline_passed &&
+  if (m_admitted_at && !m_soft_deadline_passed &&
       m_input.settings->coverage_policy == CoveragePolicy::kEarly) {
     next = std::min(next, SoftDeadline());
   }
--- a/src/decision/query/query_attempts.cc
+++ b/src/decision/query/query_attempts.cc
@@ -88,7 +88,7 @@
     return;
   }
   RetryBudget& budget = *m_context->deps.retry_budget;
-  if (!budget.TrySpend(m_input.request.team)) {
+  if (!budget.TrySpendForHedge(m_input.request.team)) {
     ScheduleHedge(index, now);
     return;
   }
--- a/src/decision/query/query_finish.cc
+++ b/src/decision/query/query_finish.cc
@@ -63,10 +63,10 @@
 void Query::Failed(TimePoint now, Actions& actions) {
   CollectMissing(now);
   const std::string message =
-      m_admitted ? "Too few shard groups answered: " +
-                       std::to_string(m_coverage.groups_covered) + " of " +
-                       std::to_string(m_coverage.groups_asked) + "."
-                 : "The deadline passed while the request was queued.";
+      m_admitted_at ? "Too few shard groups answered: " +
+                          std::to_string(m_coverage.groups_covered) + " of " +
+                          std::to_string(m_coverage.groups_asked) + "."
+                    : "The deadline passed while the request was queued.";
   FinishError(FailureCode(now), m_evidence.state(), message, now, actions);
   Close(actions);
 }
--- a/src/decision/query/query_tier_actions.cc
+++ b/src/decision/query/query_tier_actions.cc
@@ -149,10 +149,10 @@
 
 void QueryTierCore::ReleaseAdmission(const RequestRun& run) {
   const RunInput& input = run.input();
-  if (run.admitted() && input.settings->admission_control) {
+  if (run.admitted_at() && input.settings->admission_control) {
     m_context.deps.admission->Release(
         input.request.team, input.request.index_set,
-        m_context.deps.timers->Now() - input.submitted, run.saw_overload());
+        m_context.deps.timers->Now() - *run.admitted_at(), run.saw_overload());
   }
 }
 
--- a/src/decision/query/request_run.cc
+++ b/src/decision/query/request_run.cc
@@ -16,7 +16,7 @@
                              Actions& actions) {
   switch (result) {
     case AdmissionResult::kAdmitted:
-      m_admitted = true;
+      m_admitted_at = now;
       if (now >= m_input.deadline) {
         OnWake(now, actions);
       } else {
--- a/src/decision/query/request_run.h
+++ b/src/decision/query/request_run.h
@@ -86,7 +86,8 @@
   virtual TimePoint NextWake() const = 0;
 
   const RunInput& input() const { return m_input; }
-  bool admitted() const { return m_admitted; }
+  // When admission ended; empty if it did not.
+  std::optional<TimePoint> admitted_at() const { return m_admitted_at; }
   // True if a server refused for overload or none could take the work.
   bool saw_overload() const { return m_saw_overload; }
 
@@ -117,7 +118,7 @@
 
   EngineContext* const m_context;
   const RunInput m_input;
-  bool m_admitted = false;
+  std::optional<TimePoint> m_admitted_at;
   bool m_saw_overload = false;
   // The caller has its reply or went away.
   bool m_replied = false;
--- /dev/null
+++ b/src/testing/fake_quarantine.h
@@ -0,0 +1,56 @@
+#ifndef SRC_TESTING_FAKE_QUARANTINE_H_
+#define SRC_TESTING_FAKE_QUARANTINE_H_
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "wasabihook/quarantine.h"
+
+namespace wasabihook::testing {
+
+// Counts distinct servers that crashed on a body; two quarantine it. A success
+// clears the evidence of its server. Nothing expires. Thread-safe.
+class FakeQuarantine : public Quarantine {
+ public:
+  Suspicion Check(const TeamId& team, Fingerprint body) const override {
+    std::lock_guard lock(m_mutex);
+    const auto it = m_crashes.find({team, body});
+    const size_t servers = it == m_crashes.end() ? 0 : it->second.size();
+    return servers == 0   ? Suspicion::kNone
+           : servers == 1 ? Suspicion::kSuspect
+                          : Suspicion::kQuarantined;
+  }
+
+  void ReportCrash(const ServerId& server,
+                   const std::vector<QuarantineEntry>& bodies) override {
+    std::lock_guard lock(m_mutex);
+    for (const QuarantineEntry& body : bodies) {
+      m_crashes[{body.team, body.fingerprint}].insert(server);
+    }
+  }
+
+  void ReportSuccess(const TeamId& team,
+                     Fingerprint body,
+                     const ServerId& server) override {
+    std::lock_guard lock(m_mutex);
+    if (auto it = m_crashes.find({team, body}); it != m_crashes.end()) {
+      it->second.erase(server);
+    }
+  }
+
+  void Merge(const QuarantineEntry& /*entry*/) override {}
+  std::vector<QuarantineEntry> Entries() const override { return {}; }
+  void SetOnAdded(std::function<void(QuarantineEntry)> /*hook*/) override {}
+
+ private:
+  mutable std::mutex m_mutex;
+  std::map<std::pair<TeamId, Fingerprint>, std::set<ServerId>> m_crashes;
+};
+
+}  // namespace wasabihook::testing
+
+#endif  // SRC_TESTING_FAKE_QUARANTINE_H_
