Test the query tier's state machines

Unit tests of searches, fetches, operations, quarantine, canary, drain and cancellation over the fakes. A reply that timed out at the deadline is now reported as deadline_exceeded for operations as it was for searches.

--- a/src/decision/operations/operation_run.cc
+++ b/src/decision/operations/operation_run.cc
@@ -121,7 +121,7 @@
     m_refused_by.push_back(attempt.server);
     Retry(reply, now, actions);
   } else {
-    EndUnknown(now, actions);
+    EndUnknown(reply.outcome, now, actions);
   }
   return true;
 }
@@ -152,11 +152,15 @@
   actions.remove = true;
 }
 
-void OperationRun::EndUnknown(TimePoint now, Actions& actions) {
+void OperationRun::EndUnknown(SubOutcome outcome,
+                              TimePoint now,
+                              Actions& actions) {
   Record({RunState::kUnknown, {}, m_snapshot->id}, actions);
   if (!m_replied) {
     m_missing_groups = {group().id};
-    ReplyError(ErrorCode::kBackendFailed, RunState::kUnknown,
+    ReplyError(outcome == SubOutcome::kTimedOut ? ErrorCode::kDeadlineExceeded
+                                                : ErrorCode::kBackendFailed,
+               RunState::kUnknown,
                "The server did not confirm the operation; it may have run.",
                now, actions);
   }
--- a/src/decision/operations/operation_run.h
+++ b/src/decision/operations/operation_run.h
@@ -48,7 +48,7 @@
   void StopWaiting();
   void Retry(const SubReply& reply, TimePoint now, Actions& actions);
   void Succeed(SubReply reply, TimePoint now, Actions& actions);
-  void EndUnknown(TimePoint now, Actions& actions);
+  void EndUnknown(SubOutcome outcome, TimePoint now, Actions& actions);
   // Ends a claim under which nothing ran, so that a re-send may run.
   void EndNotRun(ErrorCode code,
                  std::string message,
--- a/src/testing/fake_backend_transport.cc
+++ b/src/testing/fake_backend_transport.cc
@@ -4,8 +4,8 @@
 
 namespace wasabihook::testing {
 
-FakeBackendTransport::FakeBackendTransport(TimerService* timers)
-    : m_timers(timers) {}
+FakeBackendTransport::FakeBackendTransport(TimerService* timers, Duration grace)
+    : m_timers(timers), m_grace(grace) {}
 
 void FakeBackendTransport::Send(SubRequest request, SubReplyCallback done) {
   OnSend hook;
@@ -18,7 +18,7 @@
     m_entries.push_back(std::move(entry));
     hook = m_on_send;
   }
-  After(request.remaining,
+  After(request.remaining + m_grace,
         [this, id = request.id] { DeliverFirst(id, SubOutcome::kTimedOut); });
   if (hook) {
     hook(request);
--- a/src/testing/fake_backend_transport.h
+++ b/src/testing/fake_backend_transport.h
@@ -14,13 +14,15 @@
 namespace wasabihook::testing {
 
 // BackendTransport whose replies the test gives. Answers by itself only when a
-// sub-request is cancelled (kCancelled) or its time is over (kTimedOut).
+// sub-request is cancelled (kCancelled) or `grace` after its time is over
+// (kTimedOut).
 // Thread-safe; callbacks come from the timer service or from Deliver().
 class FakeBackendTransport : public BackendTransport {
  public:
   using OnSend = std::function<void(const SubRequest&)>;
 
-  explicit FakeBackendTransport(TimerService* timers);
+  explicit FakeBackendTransport(TimerService* timers,
+                                Duration grace = Duration(0));
 
   void Send(SubRequest request, SubReplyCallback done) override;
   void Cancel(const SubRequestId& id) override;
@@ -56,6 +58,7 @@
   void After(Duration delay, std::function<void()> callback);
 
   TimerService* const m_timers;
+  const Duration m_grace;
   mutable std::mutex m_mutex;
   OnSend m_on_send;
   std::vector<Entry> m_entries;
--- /dev/null
+++ b/tests/query_tier_test.cc
@@ -0,0 +1,351 @@
+#include "query_tier_fixture.h"
+
+namespace wasabihook::testing {
+namespace {
+
+using QueryTierTest = QueryTierFixture;
+
+// Guards against rows out of group order and against inexact coverage.
+TEST_F(QueryTierTest, MergesInGroupOrder) {
+  const size_t r = Submit(Search());
+  ASSERT_EQ(transport.Outstanding().size(), 3U);
+  AnswerGroup("g2");
+  AnswerGroup("g0");
+  EXPECT_FALSE(replies[r].has_value());
+  AnswerGroup("g1");
+  const Answer& answer = AnswerOf(r);
+  EXPECT_EQ(answer.rows,
+            std::vector<std::string>({"row-g0", "row-g1", "row-g2"}));
+  EXPECT_TRUE(answer.coverage.complete());
+  EXPECT_EQ(answer.coverage.records_covered, 30U);
+  EXPECT_EQ(answer.snapshot.index_version, IndexVersion(1));
+  EXPECT_EQ(tier->in_flight(), 0U);
+  EXPECT_EQ(servers.total_outstanding(), 0U);
+  EXPECT_EQ(admission.running(), 0);
+  ASSERT_EQ(outcomes.size(), 1U);
+  EXPECT_TRUE(outcomes[0].complete);
+}
+
+// Guards against a hedge that is not sent, a loser that is not cancelled, and
+// its late reply being counted a second time.
+TEST_F(QueryTierTest, HedgesOnceAndDropsTheLoser) {
+  const size_t r = Submit(Search());
+  AnswerGroup("g0");
+  AnswerGroup("g1");
+  timers.Advance(milliseconds(50));
+  ASSERT_EQ(transport.Sent().size(), 4U);
+  const SubRequest loser = transport.Sent()[2];
+  const SubRequest hedge = transport.Sent()[3];
+  EXPECT_EQ(hedge.group, loser.group);
+  EXPECT_NE(hedge.server, loser.server);
+  EXPECT_EQ(budget.tokens(), 9U);
+  transport.Answer(hedge.id, kRecordsPerGroup, {"hedged"});
+  EXPECT_EQ(AnswerOf(r).coverage.records_covered, 30U);
+  EXPECT_EQ(transport.Cancelled(), std::vector<SubRequestId>({loser.id}));
+  transport.Answer(loser.id, kRecordsPerGroup, {"late"});
+  EXPECT_EQ(tier->dropped_replies().late, 1U);
+  EXPECT_EQ(servers.total_outstanding(), 0U);
+}
+
+// Guards against hedges and retries beyond the shared budget.
+TEST_F(QueryTierTest, NoTokenMeansNoHedgeAndNoRetry) {
+  budget.SetTokens(0);
+  const size_t r = Submit(Search());
+  AnswerGroup("g0");
+  AnswerGroup("g1");
+  transport.Fail(transport.Outstanding()[0].id, SubOutcome::kServerError);
+  timers.Advance(milliseconds(999));
+  EXPECT_EQ(transport.Sent().size(), 3U);
+  timers.Advance(milliseconds(1));
+  EXPECT_EQ(AnswerOf(r).coverage.missing_groups,
+            std::vector<ShardGroupId>({ShardGroupId("g2")}));
+}
+
+// Guards against a refused sub-query that is given up or sent to the same
+// server again.
+TEST_F(QueryTierTest, RetriesOnAnotherReplica) {
+  const size_t r = Submit(Search());
+  transport.Fail(transport.Outstanding()[1].id, SubOutcome::kOverloaded);
+  timers.Advance(milliseconds(5));
+  ASSERT_EQ(transport.Sent().size(), 4U);
+  EXPECT_EQ(transport.Sent()[3].server, ServerId("g1b"));
+  AnswerAll();
+  EXPECT_TRUE(AnswerOf(r).coverage.complete());
+}
+
+// Guards against an early answer that hides what is missing.
+TEST_F(QueryTierTest, EarlyPolicyAnswersAtSoftDeadline) {
+  settings.coverage_policy = CoveragePolicy::kEarly;
+  Offer(MakeSnapshot(1, 3));
+  const size_t r = Submit(Search());
+  AnswerGroup("g0");
+  AnswerGroup("g2");
+  timers.Advance(milliseconds(199));
+  EXPECT_FALSE(replies[r].has_value());
+  timers.Advance(milliseconds(1));
+  const Coverage& coverage = AnswerOf(r).coverage;
+  EXPECT_EQ(coverage.groups_covered, 2U);
+  EXPECT_EQ(coverage.records_covered, 20U);
+  EXPECT_EQ(coverage.records_asked, 30U);
+  EXPECT_EQ(coverage.missing_groups,
+            std::vector<ShardGroupId>({ShardGroupId("g1")}));
+}
+
+// Guards against a reply after the deadline and against a wrong run state.
+TEST_F(QueryTierTest, TooLittleCoverageIsAnErrorAtTheDeadline) {
+  const size_t none = Submit(Search());
+  const size_t some = Submit(Search());
+  transport.Answer(transport.Sent()[3].id, kRecordsPerGroup, {});
+  timers.Advance(milliseconds(1000));
+  ExpectError(none, ErrorCode::kDeadlineExceeded, RunState::kUnknown);
+  ExpectError(some, ErrorCode::kDeadlineExceeded, RunState::kRan);
+}
+
+// Guards against "not_run" without proof: it needs a refusal of every attempt.
+TEST_F(QueryTierTest, NotRunOnlyIfEveryAttemptWasRefused) {
+  settings.max_attempts = 1;
+  Offer(MakeSnapshot(1, 2));
+  const size_t refused = Submit(Search());
+  for (const SubRequest& sub : transport.Outstanding()) {
+    transport.Fail(sub.id, SubOutcome::kOverloaded);
+  }
+  ExpectError(refused, ErrorCode::kOverloaded, RunState::kNotRun);
+  const size_t lost = Submit(Search("other"));
+  const auto subs = transport.Outstanding();
+  transport.Fail(subs[0].id, SubOutcome::kOverloaded);
+  transport.Fail(subs[1].id, SubOutcome::kTimedOut);
+  ExpectError(lost, ErrorCode::kBackendFailed, RunState::kUnknown);
+}
+
+// Guards against counting a truncated reply or one of another snapshot.
+TEST_F(QueryTierTest, RepliesThatDoNotMatchThePinnedGroupDoNotCount) {
+  settings.max_attempts = 1;
+  settings.least_coverage = Fraction{0.3};
+  Offer(MakeSnapshot(1, 3));
+  const size_t r = Submit(Search());
+  const auto subs = transport.Outstanding();
+  transport.Answer(subs[0].id, kRecordsPerGroup - 1, {"truncated"});
+  SubReply other;
+  other.id = subs[1].id;
+  other.outcome = SubOutcome::kOk;
+  other.snapshot = {IndexVersion(2), MapVersion(1)};
+  other.records_searched = kRecordsPerGroup;
+  other.rows = {"other snapshot"};
+  transport.Deliver(subs[1].id, other);
+  transport.Answer(subs[2].id, kRecordsPerGroup, {"good"});
+  EXPECT_EQ(AnswerOf(r).rows, std::vector<std::string>({"good"}));
+  EXPECT_EQ(AnswerOf(r).coverage.records_covered, kRecordsPerGroup);
+  EXPECT_EQ(tier->dropped_replies().invalid, 2U);
+}
+
+// Guards against a caller that receives rows of another caller's request.
+TEST_F(QueryTierTest, SwappedAndDuplicateRepliesAreDropped) {
+  Offer(MakeSnapshot(1, 1));
+  const size_t first = Submit(Search("a"));
+  const size_t second = Submit(Search("b"));
+  const auto subs = transport.Outstanding();
+  SubReply swapped;
+  swapped.id = subs[1].id;
+  swapped.outcome = SubOutcome::kOk;
+  swapped.snapshot = subs[1].snapshot;
+  swapped.records_searched = kRecordsPerGroup;
+  swapped.rows = {"b"};
+  transport.Deliver(subs[0].id, swapped);
+  EXPECT_FALSE(replies[first].has_value());
+  transport.Answer(subs[1].id, kRecordsPerGroup, {"b"});
+  transport.Answer(subs[1].id, kRecordsPerGroup, {"b again"});
+  EXPECT_EQ(AnswerOf(second).rows, std::vector<std::string>({"b"}));
+  timers.Advance(milliseconds(10));
+  transport.Answer(transport.Sent().back().id, kRecordsPerGroup, {"a"});
+  EXPECT_EQ(AnswerOf(first).rows, std::vector<std::string>({"a"}));
+  EXPECT_EQ(tier->dropped_replies().foreign, 1U);
+  EXPECT_EQ(tier->dropped_replies().duplicate, 1U);
+}
+
+// Guards against an answer merged from two snapshots when an index version
+// changes while the query runs.
+TEST_F(QueryTierTest, RestartsAsAWholeOnTheNewerSnapshot) {
+  const size_t r = Submit(Search());
+  AnswerGroup("g0");
+  AnswerGroup("g1");
+  for (int replica = 0; replica < 2; ++replica) {
+    transport.Fail(transport.Outstanding()[0].id,
+                   SubOutcome::kSnapshotNotServed);
+  }
+  EXPECT_EQ(budget.tokens(), 10U);
+  timers.Advance(milliseconds(20));
+  EXPECT_EQ(transport.Sent().size(), 4U);
+  Offer(MakeSnapshot(2, 2));
+  timers.Advance(milliseconds(5));
+  ASSERT_EQ(transport.Outstanding().size(), 2U);
+  AnswerAll();
+  EXPECT_EQ(AnswerOf(r).snapshot.index_version, IndexVersion(2));
+  EXPECT_EQ(AnswerOf(r).rows, std::vector<std::string>({"row-g0", "row-g1"}));
+  EXPECT_EQ(AnswerOf(r).coverage.records_asked, 20U);
+}
+
+// Guards against endless restarts and against waiting for settings that never
+// come.
+TEST_F(QueryTierTest, GivesUpOnASnapshotThatNoReplicaServes) {
+  transport.SetOnSend([&](const SubRequest& sub) {
+    timers.SubscribeOnce(milliseconds(1), [this, id = sub.id] {
+      transport.Fail(id, SubOutcome::kSnapshotNotServed);
+    });
+  });
+  const size_t r = Submit(Search());
+  for (uint64_t version = 2; version < 6; ++version) {
+    Offer(MakeSnapshot(version, 1));
+    timers.Advance(milliseconds(20));
+  }
+  ExpectError(r, ErrorCode::kSnapshotUnavailable, RunState::kNotRun);
+  const size_t stale = Submit(Search());
+  timers.Advance(milliseconds(300));
+  ExpectError(stale, ErrorCode::kSnapshotUnavailable, RunState::kNotRun);
+}
+
+// Guards against a fetch that asks the wrong group or more than one.
+TEST_F(QueryTierTest, FetchAsksTheGroupOfItsKey) {
+  CallerRequest request = Search();
+  request.kind = RequestKind::kFetch;
+  request.record_key = "record-9";
+  const size_t r = Submit(request);
+  ASSERT_EQ(transport.Sent().size(), 1U);
+  const SnapshotPtr snapshot = settings.index_sets[kIndexSet];
+  EXPECT_EQ(transport.Sent()[0].group,
+            snapshot->groups[snapshot->GroupIndexFor("record-9")].id);
+  timers.Advance(milliseconds(50));
+  ASSERT_EQ(transport.Sent().size(), 2U);
+  transport.Answer(transport.Sent()[1].id, 1, {"record"});
+  EXPECT_EQ(AnswerOf(r).rows, std::vector<std::string>({"record"}));
+}
+
+// Guards against a sub-query that fails, or waits for its timer, although a
+// server becomes free.
+TEST_F(QueryTierTest, WaitsForCapacity) {
+  servers.SetLimit(1);
+  Offer(MakeSnapshot(1, 1, 1));
+  const size_t first = Submit(Search("a"));
+  const size_t second = Submit(Search("b"));
+  ASSERT_EQ(transport.Sent().size(), 1U);
+  AnswerAll();
+  EXPECT_TRUE(AnswerOf(first).coverage.complete());
+  ASSERT_EQ(transport.Sent().size(), 2U);
+  const size_t third = Submit(Search("c"));
+  timers.Advance(milliseconds(999));
+  AnswerAll();
+  EXPECT_TRUE(AnswerOf(second).coverage.complete());
+  EXPECT_EQ(transport.Sent().size(), 3U);
+  timers.Advance(milliseconds(1));
+  ExpectError(third, ErrorCode::kDeadlineExceeded, RunState::kUnknown);
+  const size_t fourth = Submit(Search("d"));
+  servers.SetLimit(0);
+  const size_t fifth = Submit(Search("e"));
+  timers.Advance(milliseconds(1000));
+  ExpectError(fourth, ErrorCode::kDeadlineExceeded, RunState::kUnknown);
+  ExpectError(fifth, ErrorCode::kDeadlineExceeded, RunState::kNotRun);
+}
+
+// Guards against a reply from within Submit(), which would deadlock callers
+// that hold a lock, and against admission that is not released.
+TEST_F(QueryTierTest, AdmissionRefusesAndReleases) {
+  CallerRequest unknown = Search();
+  unknown.team = TeamId("nobody");
+  const size_t bad = Submit(unknown);
+  EXPECT_FALSE(replies[bad].has_value());
+  timers.RunDue();
+  ExpectError(bad, ErrorCode::kUnknownTeam, RunState::kNotRun);
+  admission.Hold(true);
+  const size_t full = Submit(Search());
+  admission.Decide(AdmissionResult::kQueueFull);
+  ExpectError(full, ErrorCode::kOverloaded, RunState::kNotRun);
+  const size_t queued = Submit(Search());
+  timers.Advance(milliseconds(1000));
+  ExpectError(queued, ErrorCode::kDeadlineExceeded, RunState::kNotRun);
+  admission.Decide(AdmissionResult::kAdmitted);
+  EXPECT_EQ(admission.running(), 0);
+  EXPECT_TRUE(transport.Sent().empty());
+}
+
+// Guards against a fan-out of a request that the canary has not proven.
+TEST_F(QueryTierTest, CanaryGoesFirst) {
+  settings.canary = true;
+  Offer(MakeSnapshot(1, 3));
+  const size_t good = Submit(Search("good"));
+  ASSERT_EQ(transport.Sent().size(), 1U);
+  AnswerAll();
+  EXPECT_EQ(transport.Sent().size(), 3U);
+  AnswerAll();
+  EXPECT_TRUE(AnswerOf(good).coverage.complete());
+  const size_t bad = Submit(Search("bad"));
+  ASSERT_EQ(transport.Sent().size(), 4U);
+  transport.Fail(transport.Sent()[3].id, SubOutcome::kConnectionLost);
+  ExpectError(bad, ErrorCode::kBackendFailed, RunState::kUnknown);
+  EXPECT_EQ(transport.Sent().size(), 4U);
+}
+
+// Guards against a suspect body that is hedged, retried, or sent to the last
+// live server of a group.
+TEST_F(QueryTierTest, SuspectSparesLastServers) {
+  const size_t first = Submit(Search("killer"));
+  const size_t bystander = Submit(Search("bystander"));
+  transport.Fail(transport.Sent()[0].id, SubOutcome::kConnectionLost);
+  timers.Advance(milliseconds(400));
+  // The killer is suspect; so is the bystander in flight on the same server.
+  EXPECT_EQ(transport.Sent().size(), 6U);
+  AnswerAll();
+  EXPECT_EQ(AnswerOf(first).coverage.groups_covered, 2U);
+  EXPECT_TRUE(AnswerOf(bystander).coverage.complete());
+  servers.Eject(ServerId("g0a"));
+  const size_t again = Submit(Search("killer"));
+  ASSERT_EQ(transport.Sent().size(), 7U);
+  EXPECT_EQ(transport.Sent()[6].group, ShardGroupId("g1"));
+  transport.Fail(transport.Sent()[6].id, SubOutcome::kConnectionLost);
+  ExpectError(again, ErrorCode::kBackendFailed, RunState::kUnknown);
+  EXPECT_EQ(transport.Sent().size(), 7U);
+  const size_t refused = Submit(Search("killer"));
+  timers.RunDue();
+  ExpectError(refused, ErrorCode::kQuarantined, RunState::kNotRun);
+}
+
+// Guards against a shutdown that cuts a request in flight or never ends.
+TEST_F(QueryTierTest, DrainWaitsForRequestsInFlight) {
+  const size_t r = Submit(Search());
+  int drained = 0;
+  tier->Drain([&] { ++drained; });
+  const size_t refused = Submit(Search());
+  timers.RunDue();
+  ExpectError(refused, ErrorCode::kShuttingDown, RunState::kNotRun);
+  EXPECT_EQ(drained, 0);
+  AnswerAll();
+  EXPECT_TRUE(AnswerOf(r).coverage.complete());
+  EXPECT_EQ(drained, 1);
+  timers.Advance(milliseconds(2000));
+  EXPECT_EQ(drained, 1);
+}
+
+// Guards against work for a caller that went away, and a reply to it.
+TEST_F(QueryTierTest, CancelEndsOutstandingWork) {
+  const size_t r = Submit(Search());
+  tier->Cancel(handles[r]);
+  EXPECT_EQ(transport.Cancelled().size(), 3U);
+  timers.Advance(milliseconds(2000));
+  EXPECT_FALSE(replies[r].has_value());
+  EXPECT_EQ(tier->in_flight(), 0U);
+  EXPECT_EQ(servers.total_outstanding(), 0U);
+  EXPECT_EQ(admission.running(), 0);
+  EXPECT_FALSE(timers.NextDue().has_value());
+}
+
+// Guards against callbacks that use a tier that was destroyed.
+TEST_F(QueryTierTest, LateCallbacksAfterDestructionAreHarmless) {
+  Submit(Search());
+  Submit(Operation("k1"));
+  const auto subs = transport.Outstanding();
+  tier.reset();
+  transport.Answer(subs[0].id, kRecordsPerGroup, {});
+  timers.Advance(milliseconds(2000));
+  EXPECT_TRUE(outcomes.empty());
+}
+
+}  // namespace
+}  // namespace wasabihook::testing
