--- a/src/decision/routing/concurrency_limit.cc
+++ b/src/decision/routing/concurrency_limit.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "decision/routing/connection_quota.h"
 #include "wasabihook/config.h"
 
 namespace wasabihook {
@@ -13,16 +14,22 @@
 
 }  // namespace
 
-void ConcurrencyLimit::Configure(uint32_t slots, uint32_t live_instances) {
-  if (slots == m_slots && live_instances == m_live_instances) {
+void ConcurrencyLimit::Configure(const ServerShape& shape,
+                                 uint32_t live_instances) {
+  if (shape.slots == m_shape.slots &&
+      shape.max_connections == m_shape.max_connections &&
+      live_instances == m_live_instances) {
     return;
   }
-  m_slots = std::max<uint32_t>(slots, 1);
-  m_live_instances = std::max<uint32_t>(live_instances, 1);
+  m_shape = shape;
+  m_live_instances = live_instances;
+  const uint32_t slots = std::max<uint32_t>(shape.slots, 1);
+  m_max = std::min(slots + config::kServerQueue,
+                   ConnectionQuota(shape.max_connections, live_instances));
   if (!m_learned) {
-    m_limit = std::max<uint32_t>(m_slots / m_live_instances, 1);
+    m_limit = std::max(slots / std::max(live_instances, 1U), 1U);
   }
-  m_limit = std::clamp<double>(m_limit, 1, m_slots + config::kServerQueue);
+  m_limit = std::clamp(m_limit, 1.0, m_max);
 }
 
 void ConcurrencyLimit::OnSuccess(Duration latency,
@@ -43,8 +50,7 @@
   if (m_recent > m_baseline * config::kLimitLatencyFactor) {
     Decrease(now);
   } else {
-    m_limit =
-        std::min<double>(m_limit + 1 / m_limit, m_slots + config::kServerQueue);
+    m_limit = std::min(m_limit + 1 / m_limit, m_max);
   }
 }
 
--- a/src/decision/routing/concurrency_limit.h
+++ b/src/decision/routing/concurrency_limit.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "wasabihook/snapshot.h"
 #include "wasabihook/units.h"
 
 namespace wasabihook {
@@ -10,12 +11,13 @@
 // Sub-requests that this instance may have outstanding on one server: grows by
 // one per round while it is reached and latency is flat, shrinks on refusals
 // and on latency well above the server's own baseline. At least 1 and at most
-// the server's slots plus a short queue. Not thread-safe.
+// the server's slots plus a short queue, or the connections that this instance
+// may open to the server if those are fewer. Not thread-safe.
 class ConcurrencyLimit {
  public:
-  // Adopts the server's slots and the number of live instances. Until the first
-  // observation the limit is this instance's share of the slots.
-  void Configure(uint32_t slots, uint32_t live_instances);
+  // Adopts the server's limits and the number of live instances. Until the
+  // first observation the limit is this instance's share of the slots.
+  void Configure(const ServerShape& shape, uint32_t live_instances);
   // `outstanding` counts the finished sub-request too.
   void OnSuccess(Duration latency, uint32_t outstanding, TimePoint now);
   void OnRefused(TimePoint now);
@@ -24,8 +26,9 @@
  private:
   void Decrease(TimePoint now);
 
-  uint32_t m_slots = 0;
+  ServerShape m_shape{.slots = 0, .max_connections = 0};
   uint32_t m_live_instances = 0;
+  double m_max = 1;
   bool m_learned = false;
   double m_limit = 1;
   // Microseconds; the baseline follows falls quickly and rises slowly.
--- a/src/decision/routing/hedge_policy.cc
+++ b/src/decision/routing/hedge_policy.cc
@@ -13,8 +13,10 @@
 
 // Replies between two recomputations of a group's delay.
 constexpr uint32_t kRefreshReplies = 8;
-// Share by which a recomputation moves the long-term median.
-constexpr double kBaselineStep = 0.02;
+// Share by which a recomputation raises the long-term median. A rise by a
+// factor of eight is accepted as the new normal after about a thousand replies,
+// so that an overload does not pass for it.
+constexpr double kBaselineStep = 0.002;
 
 struct KeyHash {
   size_t operator()(const GroupKey& key) const noexcept {
--- a/src/decision/routing/latency_histogram.cc
+++ b/src/decision/routing/latency_histogram.cc
@@ -15,7 +15,7 @@
 size_t LatencyHistogram::BucketOf(Duration latency) {
   const auto micros =
       static_cast<uint64_t>(std::max<int64_t>(latency.count(), 1));
-  const int octave = std::bit_width(micros) - 1;
+  const int octave = static_cast<int>(std::bit_width(micros)) - 1;
   if (octave < kFirstOctave) {
     return 0;
   }
--- a/src/decision/routing/server_state.cc
+++ b/src/decision/routing/server_state.cc
@@ -18,7 +18,7 @@
                               uint32_t live_instances,
                               TimePoint now) {
   m_last_seen = now;
-  m_limit.Configure(shape.slots, live_instances);
+  m_limit.Configure(shape, live_instances);
   if (m_drain.TakeReturned(now)) {
     m_slow_start = now;
   }
--- /dev/null
+++ b/tests/admission_controller_test.cc
@@ -0,0 +1,272 @@
+#include "decision/routing/admission_controller.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <tuple>
+#include <vector>
+
+#include "testing/manual_timer_service.h"
+#include "wasabihook/config.h"
+
+namespace wasabihook {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::ManualTimerService;
+
+const IndexSetId kPool("lab-ledger");
+const TeamId kClerks("clerks");
+const TeamId kCouriers("couriers");
+
+class AdmissionControllerTest : public ::testing::Test {
+ protected:
+  // Asks for admission and returns the index of the request's result.
+  size_t Ask(const TeamId& team,
+             Duration timeout = seconds(1),
+             uint32_t max_queued = 10,
+             uint32_t weight = 1) {
+    const size_t index = m_results.size();
+    m_results.emplace_back();
+    m_controller->Request(
+        {team, kPool, weight, max_queued, m_timers.Now() + timeout},
+        [this, index, team](AdmissionResult result) {
+          EXPECT_FALSE(m_results[index].has_value()) << "decided twice";
+          m_results[index] = result;
+          if (result == AdmissionResult::kAdmitted) {
+            ++m_admitted[team];
+            m_running.push_back(team);
+          }
+        });
+    return index;
+  }
+  void Finish(const TeamId& team, Duration latency, bool overloaded = false) {
+    m_controller->Release(team, kPool, latency, overloaded);
+  }
+  // Fills the pool's only slot and teaches a service time of `latency`.
+  void Learn(Duration latency) {
+    m_controller->SetPoolCapacity(kPool, 1);
+    for (int i = 0; i < 50; ++i) {
+      Ask(kClerks);
+      m_timers.Advance(latency);
+      Finish(kClerks, latency);
+    }
+  }
+
+  ManualTimerService m_timers;
+  std::unique_ptr<AdmissionController> m_controller =
+      AdmissionController::Create(&m_timers);
+  std::deque<std::optional<AdmissionResult>> m_results;
+  std::map<TeamId, int> m_admitted;
+  std::deque<TeamId> m_running;
+};
+
+// Guards against a queue that grows without bound or refuses late.
+TEST_F(AdmissionControllerTest, QueueIsBoundedAndRefusesAtOnce) {
+  m_controller->SetPoolCapacity(kPool, 2);
+  EXPECT_EQ(m_results[Ask(kClerks, seconds(1), 1)], AdmissionResult::kAdmitted);
+  EXPECT_EQ(m_results[Ask(kClerks, seconds(1), 1)], AdmissionResult::kAdmitted);
+  const size_t queued = Ask(kClerks, seconds(1), 1);
+  EXPECT_EQ(m_results[queued], std::nullopt);
+  EXPECT_EQ(m_results[Ask(kClerks, seconds(1), 1)],
+            AdmissionResult::kQueueFull);
+  EXPECT_EQ(m_results[Ask(kCouriers, seconds(1), 0)],
+            AdmissionResult::kQueueFull);
+  Finish(kClerks, milliseconds(5));
+  EXPECT_EQ(m_results[queued], AdmissionResult::kAdmitted);
+}
+
+// Guards against queued requests that are never answered.
+TEST_F(AdmissionControllerTest, QueuedRequestExpiresBeforeItsDeadline) {
+  Learn(milliseconds(20));
+  Ask(kClerks);
+  const size_t queued = Ask(kClerks, milliseconds(50));
+  EXPECT_EQ(m_results[queued], std::nullopt);
+  m_timers.Advance(milliseconds(35));
+  EXPECT_EQ(m_results[queued], AdmissionResult::kDeadlineTooShort);
+  Finish(kClerks, milliseconds(35));
+  EXPECT_EQ(m_results[Ask(kClerks)], AdmissionResult::kAdmitted);
+}
+
+// Guards against work that is queued although it cannot finish in time.
+TEST_F(AdmissionControllerTest, RefusesWhatCannotFinishInTime) {
+  Learn(milliseconds(20));
+  EXPECT_EQ(m_results[Ask(kClerks, milliseconds(10))],
+            AdmissionResult::kDeadlineTooShort);
+  EXPECT_EQ(m_results[Ask(kClerks)], AdmissionResult::kAdmitted);
+  EXPECT_EQ(m_results[Ask(kClerks, milliseconds(25))],
+            AdmissionResult::kDeadlineTooShort);
+  EXPECT_EQ(m_results[Ask(kClerks, Duration(0))],
+            AdmissionResult::kDeadlineTooShort);
+}
+
+// Guards against a pool that was slow for a while and then refuses everything,
+// so that it never learns that it is quick again.
+TEST_F(AdmissionControllerTest, RefusalsDoNotLastAfterSlowPhase) {
+  Learn(milliseconds(900));
+  int refused = 0;
+  while (m_results[Ask(kClerks, milliseconds(100))] !=
+         AdmissionResult::kAdmitted) {
+    ASSERT_LT(++refused, 50);
+  }
+}
+
+// Guards against a flood of one team that starves another: with equal weights
+// both get half, with weights 3 and 1 three quarters and one quarter.
+TEST_F(AdmissionControllerTest, CompetingTeamsShareByWeight) {
+  m_controller->SetPoolCapacity(kPool, 4);
+  for (uint32_t weight : {1, 3}) {
+    m_admitted.clear();
+    for (int round = 0; round < 400; ++round) {
+      for (int i = 0; i < 20; ++i) {
+        Ask(kCouriers, seconds(10), 50, 1);
+      }
+      for (int i = 0; i < 4; ++i) {
+        Ask(kClerks, seconds(10), 50, weight);
+      }
+      m_timers.Advance(milliseconds(10));
+      // The requests admitted first finish first.
+      for (int i = 0; i < 4; ++i) {
+        const TeamId team = m_running.front();
+        m_running.pop_front();
+        Finish(team, milliseconds(10));
+      }
+    }
+    const double ratio = static_cast<double>(m_admitted[kClerks]) /
+                         static_cast<double>(m_admitted[kCouriers]);
+    EXPECT_GT(ratio, 0.9 * weight);
+    EXPECT_LT(ratio, 1.1 * weight);
+  }
+}
+
+// Guards against an overload that the limit does not follow, and against a
+// limit that falls below one or never recovers.
+TEST_F(AdmissionControllerTest, LimitFollowsOverloadAndRecovers) {
+  m_controller->SetPoolCapacity(kPool, 8);
+  const auto admitted_at_once = [this] {
+    int admitted = 0;
+    while (m_results[Ask(kClerks, seconds(1), 0)] ==
+           AdmissionResult::kAdmitted) {
+      ++admitted;
+    }
+    return admitted;
+  };
+  const auto round = [&](bool overloaded) {
+    const int admitted = admitted_at_once();
+    m_timers.Advance(milliseconds(10));
+    for (int i = 0; i < admitted; ++i) {
+      Finish(kClerks, milliseconds(10), overloaded);
+    }
+    return admitted;
+  };
+  EXPECT_EQ(round(false), 8);
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_GE(round(true), 1);
+  }
+  EXPECT_EQ(round(true), 1);
+  for (int i = 0; i < 200; ++i) {
+    round(false);
+  }
+  EXPECT_EQ(round(false), 8);
+}
+
+// Guards against a standing queue in which every request waits so long that all
+// of them are late: the newest is served and the oldest is given up.
+TEST_F(AdmissionControllerTest, StandingQueueServesNewestFirst) {
+  Learn(milliseconds(20));
+  Ask(kClerks);
+  std::vector<size_t> queued;
+  for (int i = 0; i < 8; ++i) {
+    queued.push_back(Ask(kClerks, milliseconds(400)));
+  }
+  for (int i = 0; i < 6; ++i) {
+    m_timers.Advance(milliseconds(20));
+    Finish(kClerks, milliseconds(20));
+  }
+  EXPECT_EQ(m_results[queued.front()], AdmissionResult::kAdmitted);
+  EXPECT_EQ(m_results[queued.back()], AdmissionResult::kAdmitted);
+  EXPECT_EQ(m_results[queued[6]], std::nullopt);
+}
+
+// Guards against any sequence of calls that decides a request twice or never,
+// or that runs more than the capacity.
+RC_GTEST_PROP(AdmissionPropertyTest, EveryRequestIsDecidedOnce, ()) {
+  ManualTimerService timers;
+  auto controller = AdmissionController::Create(&timers);
+  const auto capacity = *rc::gen::inRange<uint32_t>(1, 5);
+  controller->SetPoolCapacity(kPool, capacity);
+  const std::vector<TeamId> teams{kClerks, kCouriers};
+  std::vector<uint32_t> running(2);
+  std::vector<uint32_t> decided;
+  const auto steps =
+      *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+          rc::gen::tuple(rc::gen::inRange(0, 3), rc::gen::inRange(0, 2),
+                         rc::gen::inRange(0, 50)));
+  for (const auto& [action, team, value] : steps) {
+    if (action == 0) {
+      decided.push_back(0);
+      controller->Request(
+          {teams[team], kPool, 1, 3, timers.Now() + milliseconds(value)},
+          [&running, &decided, team = team,
+           index = decided.size() - 1](AdmissionResult result) {
+            ++decided[index];
+            running[team] += result == AdmissionResult::kAdmitted ? 1 : 0;
+          });
+    } else if (action == 1 && running[team] > 0) {
+      --running[team];
+      controller->Release(teams[team], kPool, milliseconds(value),
+                          value % 7 == 0);
+    } else {
+      timers.Advance(milliseconds(value));
+    }
+    RC_ASSERT(running[0] + running[1] <= capacity);
+  }
+  timers.Advance(seconds(1));
+  for (uint32_t count : decided) {
+    RC_ASSERT(count == 1);
+  }
+}
+
+// Guards against races between requests, releases and expiry (run under
+// ThreadSanitizer) and against results that get lost in them.
+TEST(AdmissionThreadsTest, EveryRequestIsDecidedOnceOverThreads) {
+  ManualTimerService timers;
+  auto controller = AdmissionController::Create(&timers);
+  controller->SetPoolCapacity(kPool, 2);
+  std::atomic<int> decided{0};
+  std::vector<std::thread> threads;
+  for (int t = 0; t < 4; ++t) {
+    threads.emplace_back([&, team = TeamId(std::to_string(t % 2))] {
+      for (int i = 0; i < 500; ++i) {
+        controller->Request(
+            {team, kPool, 1, 4, timers.Now() + milliseconds(20)},
+            [&, team](AdmissionResult result) {
+              ++decided;
+              if (result == AdmissionResult::kAdmitted) {
+                timers.SubscribeOnce(milliseconds(1), [&, team] {
+                  controller->Release(team, kPool, milliseconds(1), false);
+                });
+              }
+            });
+        timers.Advance(milliseconds(1));
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  timers.Advance(seconds(1));
+  EXPECT_EQ(decided, 2000);
+}
+
+}  // namespace
+}  // namespace wasabihook
