--- a/src/peers/backend/shard.h
+++ b/src/peers/backend/shard.h
@@ -103,7 +103,7 @@
   // connection.
   void Withdraw(Transfer* transfer);
   void Complete(Transfer* transfer, CURLcode code);
-  void CompleteWork(Transfer* transfer, CURLcode code);
+  void CompleteWork(Transfer* transfer, CURLcode code, DecodedReply decoded);
   void FinishWork(Transfer* transfer, SubOutcome outcome);
   void FinishWork(Transfer* transfer, SubReply reply);
   void CountInvalid(const Transfer& transfer, InvalidCause cause);
--- a/src/peers/backend/shard_transfers.cc
+++ b/src/peers/backend/shard_transfers.cc
@@ -180,18 +180,22 @@
 
 void Shard::Complete(Transfer* transfer, CURLcode code) {
   Server* server = transfer->server;
-  if (Connection* connection = transfer->connection) {
-    if (code == CURLE_OK) {
-      connection->last_answer_at = Clock::now();
-    }
-    transfer->Detach();
-    if (connection->no_reuse) {
+  Connection* connection = transfer->connection;
+  transfer->Detach();
+  DecodedReply decoded;
+  if (code == CURLE_OK && transfer->kind == TransferKind::kWork) {
+    decoded = DecodeReply(transfer->request, transfer->head, transfer->reply);
+  }
+  if (connection) {
+    connection->last_answer_at = Clock::now();
+    // What follows on the connection of an invalid reply cannot be trusted.
+    if (connection->no_reuse || decoded.invalid) {
       m_connections.ShutDown(connection);
     }
   }
   switch (transfer->kind) {
     case TransferKind::kWork:
-      CompleteWork(transfer, code);
+      CompleteWork(transfer, code, std::move(decoded));
       break;
     case TransferKind::kCancel:
       Recycle(transfer);
@@ -207,10 +211,10 @@
   Pump(server);
 }
 
-void Shard::CompleteWork(Transfer* transfer, CURLcode code) {
+void Shard::CompleteWork(Transfer* transfer,
+                         CURLcode code,
+                         DecodedReply decoded) {
   if (code == CURLE_OK) {
-    DecodedReply decoded =
-        DecodeReply(transfer->request, transfer->head, transfer->reply);
     if (decoded.invalid) {
       CountInvalid(*transfer, *decoded.invalid);
     } else if (transfer->moved && !transfer->progress_over) {
--- a/src/peers/backend/transfer.cc
+++ b/src/peers/backend/transfer.cc
@@ -144,10 +144,15 @@
     connection->local_port = port;
   } else {
     Connection* reused = FindByPort(*server, port);
-    if (!reused || reused->no_reuse || reused->user) {
+    if (!reused || reused->no_reuse) {
       restart = true;
       return CURL_PREREQFUNC_ABORT;
     }
+    if (reused->user) {
+      // Its reply is complete, but the shard has not been told yet.
+      reused->last_answer_at = TransportClock::now();
+      reused->user->Detach();
+    }
     connection = reused;
     reused->user = this;
     context.counters->reused.Add();
--- a/src/peers/backend/wire.cc
+++ b/src/peers/backend/wire.cc
@@ -87,7 +87,7 @@
   decoded.reply.newest_snapshot = body.newest;
   if (head.retry_after_seconds) {
     // The bound keeps the conversion to microseconds from overflowing.
-    constexpr uint64_t kMaxRetryAfterSeconds = 24 * 3600;
+    constexpr uint64_t kMaxRetryAfterSeconds = 86400;
     decoded.reply.retry_after = std::chrono::seconds(
         std::min(*head.retry_after_seconds, kMaxRetryAfterSeconds));
   }
