--- /dev/null
+++ b/src/runtime/metrics.cc
@@ -0,0 +1,140 @@
+#include "runtime/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <chrono>
+#include <utility>
+
+namespace wasabihook {
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+// Upper bounds in seconds, dense around the 82 ms objective.
+const prometheus::Histogram::BucketBoundaries kLatencyBounds = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.06, 0.082,
+    0.1,   0.15,  0.2,   0.5,  1,    2,    5,    10};
+const prometheus::Histogram::BucketBoundaries kCoverageBounds = {
+    0, 0.5, 0.8, 0.9, 0.95, 0.98, 0.99, 0.995, 0.999, 0.9999};
+
+prometheus::Family<prometheus::Counter>& Counter(prometheus::Registry& into,
+                                                 const char* name,
+                                                 const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(into);
+}
+
+prometheus::Family<prometheus::Histogram>& Histogram(prometheus::Registry& into,
+                                                     const char* name,
+                                                     const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(into);
+}
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Ids that the tier does not know come from callers and are not used as labels,
+// since they are unbounded.
+prometheus::Labels OutcomeLabels(const RequestOutcome& outcome) {
+  const bool unknown_team = outcome.error == ErrorCode::kUnknownTeam ||
+                            outcome.error == ErrorCode::kNoSettings;
+  const bool unknown_set =
+      unknown_team || outcome.error == ErrorCode::kUnknownIndexSet;
+  return {{"team", unknown_team ? "" : outcome.team.value()},
+          {"index_set", unknown_set ? "" : outcome.index_set.value()},
+          {"kind", ToString(outcome.kind)}};
+}
+
+}  // namespace
+
+Metrics::Metrics()
+    : m_requests(Counter(m_registry,
+                         "wasabihook_requests_total",
+                         "Finished requests by result: ok or an error code")),
+      m_seconds(Histogram(m_registry,
+                          "wasabihook_request_seconds",
+                          "Time from submission to answer, in seconds")),
+      m_coverage(Histogram(m_registry,
+                           "wasabihook_answer_coverage",
+                           "Share of records covered by answers, 0 to 1")),
+      m_incomplete(Counter(m_registry,
+                           "wasabihook_incomplete_answers_total",
+                           "Answers that miss at least one shard group")),
+      m_sent(Counter(m_registry,
+                     "wasabihook_sub_requests_total",
+                     "Sub-requests sent to backend servers")),
+      m_needed(Counter(m_registry,
+                       "wasabihook_sub_requests_needed_total",
+                       "Least number of sub-requests that could have served "
+                       "the requests")),
+      m_invalid(Counter(m_registry,
+                        "wasabihook_invalid_requests_total",
+                        "Requests refused by the listener, by HTTP status")),
+      m_platform(Histogram(m_registry,
+                           "wasabihook_platform_call_seconds",
+                           "Calls to the platform by call and status, in "
+                           "seconds")) {}
+
+void Metrics::RecordOutcome(const RequestOutcome& outcome) {
+  const prometheus::Labels labels = OutcomeLabels(outcome);
+  prometheus::Labels with_result = labels;
+  with_result["result"] = outcome.error ? ToString(*outcome.error) : "ok";
+  m_requests.Add(with_result).Increment();
+  m_seconds.Add(labels, kLatencyBounds).Observe(Seconds(outcome.latency));
+  m_sent.Add(labels).Increment(outcome.sub_requests_sent);
+  m_needed.Add(labels).Increment(outcome.sub_requests_needed);
+  if (outcome.error)
+    return;
+  m_coverage.Add(labels, kCoverageBounds).Observe(outcome.coverage.value);
+  if (!outcome.complete)
+    m_incomplete.Add(labels).Increment();
+}
+
+void Metrics::RecordInvalid(int http_status) {
+  m_invalid.Add({{"status", std::to_string(http_status)}}).Increment();
+}
+
+void Metrics::RecordPlatformCall(const std::string& call,
+                                 const std::string& status,
+                                 Duration latency) {
+  m_platform.Add({{"call", call}, {"status", status}}, kLatencyBounds)
+      .Observe(Seconds(latency));
+}
+
+void Metrics::AddSampled(std::string name,
+                         std::string help,
+                         SampleKind kind,
+                         std::function<std::vector<MetricSample>()> read) {
+  std::lock_guard lock(m_mutex);
+  m_sampled.push_back(
+      {std::move(name), std::move(help), kind, std::move(read)});
+}
+
+std::string Metrics::Serialise() const {
+  std::vector<MetricFamily> families = m_registry.Collect();
+  std::vector<Sampled> sampled;
+  {
+    std::lock_guard lock(m_mutex);
+    sampled = m_sampled;
+  }
+  for (const Sampled& entry : sampled) {
+    const bool gauge = entry.kind == SampleKind::kGauge;
+    MetricFamily family;
+    family.name = entry.name;
+    family.help = entry.help;
+    family.type = gauge ? MetricType::Gauge : MetricType::Counter;
+    for (const MetricSample& sample : entry.read()) {
+      ClientMetric metric;
+      for (const auto& [name, value] : sample.labels)
+        metric.label.push_back({name, value});
+      (gauge ? metric.gauge.value : metric.counter.value) = sample.value;
+      family.metric.push_back(std::move(metric));
+    }
+    families.push_back(std::move(family));
+  }
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+}  // namespace wasabihook
--- /dev/null
+++ b/src/runtime/metrics.h
@@ -0,0 +1,78 @@
+#ifndef SRC_RUNTIME_METRICS_H_
+#define SRC_RUNTIME_METRICS_H_
+
+// PRIVATE HEADER. Metrics of a daemon over prometheus-cpp; docs/operations.md
+// lists names and units.
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "wasabihook/query_tier.h"
+
+namespace wasabihook {
+
+// Label and value of one sample taken at the time of a scrape.
+struct MetricSample {
+  prometheus::Labels labels;
+  double value = 0;
+};
+
+enum class SampleKind : uint8_t { kGauge, kCounter };
+
+// Registry of all metrics. Thread-safe.
+class Metrics {
+ public:
+  // Content type of Serialise().
+  static constexpr char kContentType[] =
+      "text/plain; version=0.0.4; charset=utf-8";
+
+  Metrics();
+
+  // Counts one finished request.
+  void RecordOutcome(const RequestOutcome& outcome);
+  // Counts a request that was refused before it reached the tier.
+  void RecordInvalid(int http_status);
+  // Observes a finished call to the platform.
+  void RecordPlatformCall(const std::string& call,
+                          const std::string& status,
+                          Duration latency);
+  // Adds a metric whose samples are read at each scrape. `read` must be
+  // thread-safe and outlive the scrapes.
+  void AddSampled(std::string name,
+                  std::string help,
+                  SampleKind kind,
+                  std::function<std::vector<MetricSample>()> read);
+  // Text exposition format.
+  std::string Serialise() const;
+
+ private:
+  struct Sampled {
+    std::string name;
+    std::string help;
+    SampleKind kind = SampleKind::kGauge;
+    std::function<std::vector<MetricSample>()> read;
+  };
+
+  prometheus::Registry m_registry;
+  prometheus::Family<prometheus::Counter>& m_requests;
+  prometheus::Family<prometheus::Histogram>& m_seconds;
+  prometheus::Family<prometheus::Histogram>& m_coverage;
+  prometheus::Family<prometheus::Counter>& m_incomplete;
+  prometheus::Family<prometheus::Counter>& m_sent;
+  prometheus::Family<prometheus::Counter>& m_needed;
+  prometheus::Family<prometheus::Counter>& m_invalid;
+  prometheus::Family<prometheus::Histogram>& m_platform;
+  mutable std::mutex m_mutex;
+  std::vector<Sampled> m_sampled;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_RUNTIME_METRICS_H_
