Serve the peer protocol and carry burn counts

A listener of its own hands HTTP bodies to the JSON-RPC server. The codec carries BurnCountsRequest and its response, which arrived in peer.h.

Tests: calls over kept connections, silent and absent peers, one callback for each call.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -212,12 +212,16 @@
 inline constexpr uint32_t kPeerThreads = 2;
 // Kept connections to peers, per thread.
 inline constexpr uint32_t kPeerConnectionsPerThread = 16;
+inline constexpr uint32_t kPeerListenerThreads = 1;
+inline constexpr uint32_t kMaxPeerConnections = 1024;
+inline constexpr Duration kPeerIdleTimeout = seconds(30);
 inline constexpr size_t kMaxQueuedPeerCalls = 256;
 inline constexpr size_t kMaxPeerMessageBytes = size_t{4} * 1024 * 1024;
 // A pull response stops after this many bytes of settings; the rest is pulled
 // with the next call.
 inline constexpr size_t kMaxPulledBytes = size_t{2} * 1024 * 1024;
 inline constexpr uint32_t kMaxPeerListLength = 10000;
+
 // --- Platform calls ---
 inline constexpr Duration kPlatformConnectTimeout = milliseconds(250);
 inline constexpr Duration kPlatformCallTimeout = milliseconds(2000);
--- a/src/peers/instance/peer_codec.cc
+++ b/src/peers/instance/peer_codec.cc
@@ -3,12 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "peers/instance/burn_codec.h"
+#include "peers/instance/object_reader.h"
 #include "wasabihook/config.h"
 
 namespace wasabihook {
 namespace {
 
-constexpr size_t kMaxIdLength = 256;
 constexpr int64_t kMaxExpiryMs = 24LL * 3600 * 1000;
 
 std::string Describe(PeerDecodeFault fault) {
@@ -27,107 +28,7 @@
   return "invalid";
 }
 
-// Reads members of one JSON object, naming the path of what is at fault.
-class ObjectReader {
- public:
-  ObjectReader(const Json::Value& value, std::string path)
-      : m_value(value), m_path(std::move(path)) {
-    if (!value.isObject()) {
-      throw PeerDecodeError(PeerDecodeFault::kWrongType, m_path);
-    }
-  }
-
-  std::string Text(const char* name, size_t max_length = kMaxIdLength) const {
-    const Json::Value& value = Member(name);
-    if (!value.isString()) {
-      throw PeerDecodeError(PeerDecodeFault::kWrongType, Path(name));
-    }
-    std::string text = value.asString();
-    if (text.size() > max_length) {
-      throw PeerDecodeError(PeerDecodeFault::kTooLong, Path(name));
-    }
-    return text;
-  }
-
-  std::string NonEmptyText(const char* name) const {
-    std::string text = Text(name);
-    if (text.empty()) {
-      throw PeerDecodeError(PeerDecodeFault::kOutOfRange, Path(name));
-    }
-    return text;
-  }
-
-  uint64_t Number(const char* name, uint64_t max = UINT64_MAX) const {
-    const Json::Value& value = Member(name);
-    const bool integer =
-        value.type() == Json::intValue || value.type() == Json::uintValue;
-    if (!integer) {
-      throw PeerDecodeError(PeerDecodeFault::kWrongType, Path(name));
-    }
-    if (!value.isUInt64() || value.asUInt64() > max) {
-      throw PeerDecodeError(PeerDecodeFault::kOutOfRange, Path(name));
-    }
-    return value.asUInt64();
-  }
-
-  bool Boolean(const char* name) const {
-    const Json::Value& value = Member(name);
-    if (!value.isBool()) {
-      throw PeerDecodeError(PeerDecodeFault::kWrongType, Path(name));
-    }
-    return value.asBool();
-  }
-
-  ObjectReader Object(const char* name) const {
-    return {Member(name), Path(name)};
-  }
-
-  // Calls `read(item, path)` for each item of a list.
-  template <typename Read>
-  auto List(const char* name, Read read) const {
-    const Json::Value& list = Member(name);
-    if (!list.isArray()) {
-      throw PeerDecodeError(PeerDecodeFault::kWrongType, Path(name));
-    }
-    if (list.size() > config::kMaxPeerListLength) {
-      throw PeerDecodeError(PeerDecodeFault::kTooLong, Path(name));
-    }
-    std::vector<decltype(read(list, std::string()))> items;
-    for (Json::ArrayIndex i = 0; i < list.size(); ++i) {
-      items.push_back(
-          read(list[i], Path(name) + "[" + std::to_string(i) + "]"));
-    }
-    return items;
-  }
-
- private:
-  std::string Path(const char* name) const {
-    return m_path.empty() ? name : m_path + "." + name;
-  }
-
-  const Json::Value& Member(const char* name) const {
-    if (!m_value.isMember(name)) {
-      throw PeerDecodeError(PeerDecodeFault::kMissing, Path(name));
-    }
-    return m_value[name];
-  }
-
-  const Json::Value& m_value;
-  std::string m_path;
-};
-
-std::string ReadIdItem(const Json::Value& item, const std::string& path) {
-  if (!item.isString()) {
-    throw PeerDecodeError(PeerDecodeFault::kWrongType, path);
-  }
-  std::string text = item.asString();
-  if (text.empty() || text.size() > kMaxIdLength) {
-    throw PeerDecodeError(
-        text.empty() ? PeerDecodeFault::kOutOfRange : PeerDecodeFault::kTooLong,
-        path);
-  }
-  return text;
-}
+}  // namespace
 
 Json::Value EncodeIdentity(const PeerIdentity& identity) {
   Json::Value json(Json::objectValue);
@@ -145,6 +46,8 @@
           DataCentreId(reader.NonEmptyText("data_centre"))};
 }
 
+namespace {
+
 Json::Value EncodeDigest(const DigestRequest& digest) {
   Json::Value json(Json::objectValue);
   json["from"] = EncodeIdentity(digest.from);
@@ -263,14 +166,20 @@
       m_path(std::move(path)) {}
 
 std::string MethodOf(const PeerRequest& request) {
-  return std::holds_alternative<DigestRequest>(request) ? kDigestMethod
-                                                        : kPullMethod;
+  if (std::holds_alternative<DigestRequest>(request)) {
+    return kDigestMethod;
+  }
+  return std::holds_alternative<PullRequest>(request) ? kPullMethod
+                                                      : kBurnCountsMethod;
 }
 
 Json::Value Encode(const PeerRequest& request) {
   if (const auto* digest = std::get_if<DigestRequest>(&request)) {
     return EncodeDigest(*digest);
   }
+  if (const auto* burn = std::get_if<BurnCountsRequest>(&request)) {
+    return EncodeBurnRequest(*burn);
+  }
   return EncodePull(std::get<PullRequest>(request));
 }
 
@@ -278,6 +187,9 @@
   if (const auto* digest = std::get_if<DigestResponse>(&response)) {
     return EncodeDigestResponse(*digest);
   }
+  if (const auto* burn = std::get_if<BurnCountsResponse>(&response)) {
+    return EncodeBurnResponse(*burn);
+  }
   return EncodePullResponse(std::get<PullResponse>(response));
 }
 
@@ -289,6 +201,9 @@
   if (method == kPullMethod) {
     return DecodePull(params);
   }
+  if (method == kBurnCountsMethod) {
+    return DecodeBurnRequest(params);
+  }
   throw PeerDecodeError(PeerDecodeFault::kUnknownMethod, method);
 }
 
@@ -300,6 +215,9 @@
   if (method == kPullMethod) {
     return DecodePullResponse(result);
   }
+  if (method == kBurnCountsMethod) {
+    return DecodeBurnResponse(result);
+  }
   throw PeerDecodeError(PeerDecodeFault::kUnknownMethod, method);
 }
 
--- a/src/peers/instance/peer_codec.h
+++ b/src/peers/instance/peer_codec.h
@@ -37,6 +37,7 @@
 
 inline constexpr char kDigestMethod[] = "digest";
 inline constexpr char kPullMethod[] = "pull";
+inline constexpr char kBurnCountsMethod[] = "burn_counts";
 // HTTP path of the peer protocol.
 inline constexpr char kPeerPath[] = "/v1/peer";
 
--- /dev/null
+++ b/src/peers/instance/peer_listener.h
@@ -0,0 +1,44 @@
+#ifndef SRC_PEERS_INSTANCE_PEER_LISTENER_H_
+#define SRC_PEERS_INSTANCE_PEER_LISTENER_H_
+
+#include <memory>
+#include <string>
+
+#include "peers/instance/peer_rpc_server.h"
+#include "runtime/http_listener.h"
+#include "wasabihook/config.h"
+#include "wasabihook/peer.h"
+
+namespace wasabihook {
+
+struct PeerListenerOptions {
+  std::string address = "127.0.0.1:0";  // "ip:port", port 0 = ephemeral.
+  uint32_t threads = config::kPeerListenerThreads;
+  uint32_t max_connections = config::kMaxPeerConnections;
+  Duration idle_timeout = config::kPeerIdleTimeout;
+};
+
+// Serves the peer protocol on a listener of its own.
+class PeerListener {
+ public:
+  // Throws std::runtime_error if the address cannot be bound.
+  PeerListener(const PeerListenerOptions& options, PeerHandler handler);
+
+  // Bound address, "ip:port".
+  const std::string& address() const { return m_listener.address(); }
+  // Body bytes received and sent so far.
+  uint64_t bytes() const;
+  // Ends the listener; requests that come later find no one.
+  void Stop();
+
+ private:
+  // Owned together with the requests in flight.
+  struct Server;
+
+  std::shared_ptr<Server> m_server;
+  HttpListener m_listener;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_PEERS_INSTANCE_PEER_LISTENER_H_
--- a/src/peers/instance/peer_rpc_server.cc
+++ b/src/peers/instance/peer_rpc_server.cc
@@ -37,6 +37,7 @@
         m_handler(std::move(handler)) {
     Bind(kDigestMethod, &Methods::Digest);
     Bind(kPullMethod, &Methods::Pull);
+    Bind(kBurnCountsMethod, &Methods::BurnCounts);
   }
 
   void Digest(const Json::Value& params, Json::Value& result) {
@@ -45,6 +46,9 @@
   void Pull(const Json::Value& params, Json::Value& result) {
     Serve(kPullMethod, params, result);
   }
+  void BurnCounts(const Json::Value& params, Json::Value& result) {
+    Serve(kBurnCountsMethod, params, result);
+  }
 
  private:
   void Bind(const char* name, methodPointer_t method) {
--- /dev/null
+++ b/tests/peer_transport_test.cc
@@ -0,0 +1,140 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include "peers/instance/http_peer_transport.h"
+#include "peers/instance/peer_listener.h"
+
+namespace wasabihook {
+namespace {
+
+using Response = std::optional<PeerResponse>;
+
+PeerIdentity Identity(const std::string& name) {
+  return {InstanceId(name), Incarnation(1), "127.0.0.1:1",
+          DataCentreId("bay-a")};
+}
+
+Response CallAndWait(PeerTransport& transport,
+                     const std::string& address,
+                     PeerRequest request) {
+  auto promise = std::make_shared<std::promise<Response>>();
+  transport.Call(address, std::move(request), [promise](Response response) {
+    promise->set_value(std::move(response));
+  });
+  return promise->get_future().get();
+}
+
+// Guards against messages that are altered between two instances, over new and
+// over kept connections.
+TEST(PeerTransportTest, CallsReachTheHandlerOfThePeer) {
+  const std::string text(300'000, 'x');
+  PeerListener listener({}, [&](const PeerRequest& request) -> PeerResponse {
+    if (const auto* pull = std::get_if<PullRequest>(&request)) {
+      return PullResponse{{{pull->subtrees.at(0), Revision(9), text}}};
+    }
+    return DigestResponse{Identity("server"), {{"fleet", Revision(3)}}};
+  });
+  HttpPeerTransport transport;
+  for (int i = 0; i < 3; ++i) {
+    DigestRequest digest;
+    digest.from = Identity("client");
+    const Response listed = CallAndWait(transport, listener.address(), digest);
+    ASSERT_TRUE(listed.has_value());
+    const auto& revisions = std::get<DigestResponse>(*listed).revisions;
+    ASSERT_EQ(revisions.size(), 1u);
+    EXPECT_EQ(revisions[0].revision, Revision(3));
+    const Response pulled =
+        CallAndWait(transport, listener.address(),
+                    PullRequest{Identity("client"), {"teams/clerks"}});
+    ASSERT_TRUE(pulled.has_value());
+    EXPECT_EQ(std::get<PullResponse>(*pulled).subtrees.at(0).text, text);
+  }
+  EXPECT_GT(transport.bytes(), 3 * text.size());
+}
+
+// Guards against burn counts that are lost or changed on the wire.
+TEST(PeerTransportTest, CarriesBurnCounts) {
+  BurnBucket bucket{7, 29'000'000, {}};
+  TeamBurn burn;
+  burn.team = TeamId("clerks");
+  burn.cell.requests = 3;
+  burn.cell.latency.Record(std::chrono::milliseconds(90));
+  burn.cell
+      .causes[{BurnObjective::kCoverage, BurnCauseKind::kMissingGroup, "g1"}] =
+      2;
+  bucket.teams.push_back(burn);
+  PeerListener listener({}, [&](const PeerRequest& request) -> PeerResponse {
+    const auto& counts = std::get<BurnCountsRequest>(request);
+    EXPECT_EQ(counts.acknowledged, 6u);
+    return BurnCountsResponse{Identity("server"), counts.offered};
+  });
+  HttpPeerTransport transport;
+  const Response response =
+      CallAndWait(transport, listener.address(),
+                  BurnCountsRequest{Identity("client"), 6, {bucket}});
+  ASSERT_TRUE(response.has_value());
+  const auto& buckets = std::get<BurnCountsResponse>(*response).buckets;
+  ASSERT_EQ(buckets.size(), 1u);
+  EXPECT_EQ(buckets[0].sequence, 7u);
+  EXPECT_EQ(buckets[0].minute, 29'000'000);
+  ASSERT_EQ(buckets[0].teams.size(), 1u);
+  EXPECT_EQ(buckets[0].teams[0].objectives, burn.objectives);
+  EXPECT_EQ(buckets[0].teams[0].cell, burn.cell);
+}
+
+// Guards against callers that wait forever for a peer that does not answer, is
+// gone, or has a handler of another version.
+TEST(PeerTransportTest, FailuresEndWithAnEmptyResponse) {
+  std::promise<void> release;
+  auto released = release.get_future().share();
+  PeerListener silent({}, [released](const PeerRequest&) -> PeerResponse {
+    released.wait();
+    return PullResponse{};
+  });
+  PeerListener mismatched(
+      {}, [](const PeerRequest&) -> PeerResponse { return PullResponse{}; });
+  std::string gone;
+  {
+    PeerListener closed(
+        {}, [](const PeerRequest&) -> PeerResponse { return PullResponse{}; });
+    gone = closed.address();
+  }
+  PeerTransportOptions options;
+  options.timeout = std::chrono::milliseconds(200);
+  HttpPeerTransport transport(options);
+  DigestRequest digest;
+  digest.from = Identity("client");
+  EXPECT_FALSE(CallAndWait(transport, silent.address(), digest).has_value());
+  EXPECT_FALSE(CallAndWait(transport, gone, digest).has_value());
+  EXPECT_FALSE(
+      CallAndWait(transport, mismatched.address(), digest).has_value());
+  EXPECT_FALSE(CallAndWait(transport, "no address", digest).has_value());
+  release.set_value();
+}
+
+// Guards against calls without a callback when the queue is full or the
+// transport ends.
+TEST(PeerTransportTest, EveryCallGetsOneCallback) {
+  PeerListener listener({}, [](const PeerRequest&) -> PeerResponse {
+    return DigestResponse{Identity("server"), {}};
+  });
+  std::atomic<int> callbacks{0};
+  {
+    PeerTransportOptions options;
+    options.max_queued = 4;
+    HttpPeerTransport transport(options);
+    DigestRequest digest;
+    digest.from = Identity("client");
+    for (int i = 0; i < 100; ++i) {
+      transport.Call(listener.address(), digest,
+                     [&callbacks](const Response&) { ++callbacks; });
+    }
+  }
+  EXPECT_EQ(callbacks.load(), 100);
+}
+
+}  // namespace
+}  // namespace wasabihook
