Make burn counts durable through one aggregator per data centre

Instances keep nothing, so counts vanished with each replacement.

The instance selected by rendezvous hashing collects finished minutes from its data centre and writes merged counts by compare-and-swap, once a minute. The stored value holds the sequence folded from each incarnation, so a bucket counts once whoever folds it, and instances keep a bucket until it is acknowledged. A leaving instance writes its last counts itself.

Interface change (additive): BurnCountsRequest names the receiver's incarnation.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -69,6 +69,12 @@
 // Bounds the memory of the aggregator when instances catch up after an outage.
 inline constexpr size_t kBurnBucketsPerResponse = 10;
 inline constexpr size_t kBurnPeerCallsInFlight = 16;
+// Largest value that the platform takes: 1 MB.
+inline constexpr size_t kMaxBurnValueBytes = 1'000'000;
+// A leaving instance writes its last counts itself; it competes with the
+// aggregator and with other leaving instances.
+inline constexpr int kBurnHandOverAttempts = 6;
+inline constexpr Duration kBurnHandOverBackoff = milliseconds(200);
 inline constexpr size_t kBurnCausesPerCell = 16;
 // Ages up to which counts are kept by the minute, by five minutes and by the
 // hour. Each exceeds the report windows that it serves by a margin.
--- a/include/wasabihook/peer.h
+++ b/include/wasabihook/peer.h
@@ -62,14 +62,13 @@
   std::vector<PulledSubtree> subtrees;
 };
 
-// Sent by the aggregator of a data centre to collect burn counts, and by a
-// leaving instance to hand over its last ones.
+// Sent by the aggregator of a data centre to collect burn counts.
 struct BurnCountsRequest {
   PeerIdentity from;
-  // Buckets of the receiver up to this sequence are durable.
+  // Buckets of this incarnation of the receiver up to `acknowledged` are
+  // durable. A successor at the same address ignores the acknowledgement.
+  Incarnation receiver;
   uint64_t acknowledged = 0;
-  // Buckets of the sender; empty unless it is leaving.
-  std::vector<BurnBucket> offered;
 };
 
 struct BurnCountsResponse {
--- /dev/null
+++ b/src/decision/burn/burn_ledger.cc
@@ -0,0 +1,107 @@
+#include "decision/burn/burn_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wasabihook {
+namespace {
+
+constexpr int32_t kFiveMinutes = 5;
+constexpr int32_t kHour = 60;
+
+int64_t InMinutes(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::minutes>(duration).count();
+}
+
+// Span that a cell belongs to at `now_minute`. Moves one step at a time, so
+// that a late bucket ends where an early one would have.
+BurnSpan SpanAt(BurnSpan span, int64_t now_minute) {
+  const auto older_than = [now_minute](const BurnSpan& s, Duration age) {
+    return s.start + s.width <= now_minute - InMinutes(age);
+  };
+  if (span.width < kFiveMinutes && older_than(span, config::kBurnMinuteCells)) {
+    span = {span.start - span.start % kFiveMinutes, kFiveMinutes};
+  }
+  if (span.width == kFiveMinutes &&
+      older_than(span, config::kBurnFiveMinuteCells)) {
+    span = {span.start - span.start % kHour, kHour};
+  }
+  return span;
+}
+
+void CompactTeam(TeamLedger& team, int64_t now_minute) {
+  std::map<BurnSpan, BurnCell> cells;
+  for (auto& [span, cell] : team.cells) {
+    const BurnSpan target = SpanAt(span, now_minute);
+    if (target.start + target.width <=
+        now_minute - InMinutes(config::kBurnHourCells)) {
+      continue;
+    }
+    if (auto [it, is_new] = cells.try_emplace(target, cell); !is_new) {
+      it->second.Merge(cell);
+    }
+  }
+  team.cells = std::move(cells);
+}
+
+}  // namespace
+
+bool BurnLedger::Fold(const BurnSource& source,
+                      const BurnBucket& bucket,
+                      int64_t now_minute) {
+  auto it = watermarks.find(source);
+  if (it == watermarks.end()) {
+    if (bucket.minute <= horizon_minute) {
+      ++refused_buckets;
+      return false;
+    }
+    it = watermarks.emplace(source, BurnWatermark{}).first;
+  }
+  BurnWatermark& watermark = it->second;
+  if (bucket.sequence <= watermark.sequence) {
+    return false;
+  }
+  watermark.sequence = bucket.sequence;
+  watermark.newest_minute = std::max(watermark.newest_minute, bucket.minute);
+  const int64_t minute = std::min(bucket.minute, now_minute);
+  for (const TeamBurn& burn : bucket.teams) {
+    auto [team, is_new] = teams.try_emplace(burn.team);
+    if (is_new || minute >= newest_minute) {
+      team->second.objectives = burn.objectives;
+    }
+    team->second.cells[{minute, 1}].Merge(burn.cell);
+  }
+  newest_minute = std::max(newest_minute, minute);
+  return true;
+}
+
+void BurnLedger::Compact(int64_t now_minute) {
+  for (auto it = teams.begin(); it != teams.end();) {
+    CompactTeam(it->second, now_minute);
+    it = it->second.cells.empty() ? teams.erase(it) : std::next(it);
+  }
+  // The horizon never moves back: a bucket that it refused stays refused.
+  horizon_minute = std::max(
+      horizon_minute, now_minute - InMinutes(config::kBurnWatermarkRetention));
+  std::erase_if(watermarks, [this](const auto& entry) {
+    return entry.second.newest_minute <= horizon_minute;
+  });
+}
+
+void BurnLedger::DropDetail(int32_t width) {
+  for (auto& [id, team] : teams) {
+    for (auto& [span, cell] : team.cells) {
+      if (span.width >= width) {
+        cell.latency = LatencyHistogram();
+        cell.causes.clear();
+      }
+    }
+  }
+}
+
+uint64_t BurnLedger::FoldedUpTo(const BurnSource& source) const {
+  const auto it = watermarks.find(source);
+  return it == watermarks.end() ? 0 : it->second.sequence;
+}
+
+}  // namespace wasabihook
