Add the open-loop schedule, exact quantiles, figures and the oracle

The experiment tool needs arrival times that do not wait for answers, exact quantiles and a check of every answer. The oracle compares each answer with the fakes' run records and data; a test plants one wrong answer of each kind.

--- /dev/null
+++ b/src/testing/load/figures.cc
@@ -0,0 +1,96 @@
+#include "testing/load/figures.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "testing/load/quantiles.h"
+
+namespace wasabihook::load {
+namespace {
+
+using Json = nlohmann::json;
+
+void ReadAnswer(const std::string& text, Sample* sample) {
+  const Json body = Json::parse(text);
+  const Json& coverage = body.at("coverage");
+  const auto asked = coverage.at("records_asked").get<double>();
+  const auto covered = coverage.at("records_covered").get<double>();
+  sample->coverage = asked > 0 ? covered / asked : 1;
+  sample->outcome = coverage.at("complete").get<bool>() ? Outcome::kComplete
+                                                        : Outcome::kPartial;
+}
+
+}  // namespace
+
+Sample ToSample(const LoadRequest& request,
+                const Response& response,
+                Duration warm_up) {
+  Sample sample;
+  sample.stream = request.stream;
+  sample.at = request.at - warm_up;
+  sample.latency = response.done - request.at;
+  sample.deadline = request.deadline;
+  try {
+    if (response.status == 200) {
+      ReadAnswer(response.body, &sample);
+    } else if (response.status != 0 &&
+               Json::parse(response.body).at("run_state") == "not_run") {
+      sample.outcome = Outcome::kRefused;
+    }
+  } catch (const Json::exception&) {
+    sample.outcome = Outcome::kError;
+  }
+  return sample;
+}
+
+Figures ComputeFigures(const std::vector<Sample>& samples,
+                       Duration from,
+                       Duration to) {
+  Figures figures;
+  std::vector<Duration> latencies;
+  std::vector<Duration> refusals;
+  size_t complete = 0;
+  size_t answers = 0;
+  for (const Sample& sample : samples) {
+    if (sample.at < from || sample.at >= to) {
+      continue;
+    }
+    ++figures.requests;
+    figures.deadline_share = std::max(
+        figures.deadline_share,
+        static_cast<double>(sample.latency.count()) /
+            static_cast<double>(std::max<int64_t>(1, sample.deadline.count())));
+    if (sample.outcome == Outcome::kRefused) {
+      refusals.push_back(sample.latency);
+      continue;
+    }
+    latencies.push_back(sample.latency);
+    if (sample.outcome == Outcome::kError) {
+      ++figures.errors;
+      continue;
+    }
+    ++answers;
+    figures.coverage += sample.coverage;
+    complete += sample.outcome == Outcome::kComplete ? 1 : 0;
+  }
+  figures.refused = refusals.size();
+  figures.p50 = Quantile(latencies, 0.5);
+  figures.p99 = Quantile(latencies, 0.99);
+  figures.p999 = Quantile(latencies, 0.999);
+  figures.max = Quantile(std::move(latencies), 1);
+  figures.refusal_p99 = Quantile(std::move(refusals), 0.99);
+  if (answers > 0) {
+    figures.coverage /= static_cast<double>(answers);
+  }
+  if (figures.requests > 0) {
+    figures.complete_share =
+        static_cast<double>(complete) / static_cast<double>(figures.requests);
+  }
+  if (to > from) {
+    figures.goodput = static_cast<double>(complete) * 1e6 /
+                      static_cast<double>((to - from).count());
+  }
+  return figures;
+}
+
+}  // namespace wasabihook::load
--- /dev/null
+++ b/src/testing/load/oracle.h
@@ -0,0 +1,112 @@
+#ifndef SRC_TESTING_LOAD_ORACLE_H_
+#define SRC_TESTING_LOAD_ORACLE_H_
+
+// PRIVATE HEADER. Checks every answer of a run against what the fake backend
+// servers recorded and against the data they hold.
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "testing/load/load_types.h"
+#include "wasabihook/request.h"
+
+namespace wasabihook::load {
+
+// Ways in which an answer can be wrong.
+enum class Wrong : uint8_t {
+  kMalformed,        // Not an answer of the caller API.
+  kOtherRequest,     // Carries the id of another request.
+  kUnknownSnapshot,  // Snapshot that was never published.
+  kFalseCoverage,    // Coverage counts contradict the snapshot or each other.
+  kMissingRows,      // A covered group's rows are not all there.
+  kForeignRows,      // Rows of a missing group, another snapshot or query.
+  kNeverRan,         // A covered group has no completed run in that snapshot.
+  kRanAfterAll,      // Answered not_run, but a run is on record.
+  kRanTwice,         // More than one run of an idempotency key.
+};
+inline constexpr size_t kWrongKinds = 9;
+std::string ToString(Wrong kind);
+
+// One piece of work that a fake backend server started.
+struct RunRecord {
+  std::string index_set;
+  std::string group;
+  SnapshotId snapshot;
+  RequestKind kind = RequestKind::kSearch;
+  // Search text or operation, or the record key of a fetch.
+  std::string payload;
+  std::string idempotency_key;
+};
+
+// Records of each shard group in one published snapshot, in group order.
+struct PublishedGroup {
+  std::string id;
+  uint64_t records = 0;
+};
+using PublishedSnapshot = std::vector<PublishedGroup>;
+
+struct Truth {
+  // By index set and snapshot.
+  std::map<std::string, std::map<SnapshotId, PublishedSnapshot>> published;
+  std::vector<RunRecord> runs;
+  // Rows, as JSON text, that a group returns for a request in a snapshot.
+  std::function<std::vector<std::string>(const LoadRequest& request,
+                                         const SnapshotId& snapshot,
+                                         const PublishedGroup& group,
+                                         size_t groups)>
+      rows;
+  // Index of the group that holds a record key, of `groups`.
+  std::function<size_t(const std::string& record_key, size_t groups)> group_for;
+};
+
+struct Finding {
+  Wrong kind = Wrong::kMalformed;
+  std::string request_id;
+  std::string detail;
+};
+
+class Oracle {
+ public:
+  explicit Oracle(Truth truth);
+
+  // Appends a finding for each way in which `response` is wrong.
+  void Check(const LoadRequest& request,
+             const Response& response,
+             std::vector<Finding>* findings) const;
+  // Checks what holds over the whole run: one run for each idempotency key.
+  void CheckRuns(std::vector<Finding>* findings) const;
+
+ private:
+  struct Answered;
+
+  void CheckAnswer(const LoadRequest& request,
+                   const Answered& answer,
+                   std::vector<Finding>* findings) const;
+  void CheckCoverage(const LoadRequest& request,
+                     const Answered& answer,
+                     const PublishedSnapshot& asked,
+                     std::vector<Finding>* findings) const;
+  void CheckRows(const LoadRequest& request,
+                 const Answered& answer,
+                 const PublishedSnapshot& asked,
+                 size_t groups,
+                 std::vector<Finding>* findings) const;
+  bool Ran(const LoadRequest& request) const;
+  bool RanIn(const LoadRequest& request,
+             const SnapshotId& snapshot,
+             const std::string& group) const;
+
+  const Truth m_truth;
+  // Runs by request; see KeyOf() in the source.
+  std::map<std::string, std::vector<size_t>> m_runs_by_request;
+};
+
+}  // namespace wasabihook::load
+
+#endif  // SRC_TESTING_LOAD_ORACLE_H_
