--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -24,6 +24,17 @@
 inline constexpr size_t kMaxHeaderBytes = 16 * 1024;
 inline constexpr uint32_t kMaxCallerConnections = 1024;
 inline constexpr Duration kCallerIdleTimeout = seconds(30);
+inline constexpr Duration kCallerBodyTimeout = seconds(30);
+inline constexpr uint32_t kListenerThreads = 2;
+// Ids of callers: request id, idempotency key, team and index set.
+inline constexpr size_t kMaxIdBytes = 128;
+inline constexpr size_t kMaxRecordKeyBytes = 1024;
+inline constexpr int kMaxJsonDepth = 64;
+inline constexpr Duration kMaxCallerDeadline = hours(1);
+// Greatest Unix time in milliseconds that is accepted (year 9999).
+inline constexpr int64_t kMaxUnixMillis = 253'402'300'799'999;
+// Time a stopping listener gives a new connection to send its first request.
+inline constexpr Duration kStopLinger = milliseconds(200);
 
 // --- Coverage ---
 inline constexpr Fraction kLeastCoverage{0.9};
@@ -35,20 +46,124 @@
 inline constexpr Duration kMinHedgeDelay = milliseconds(2);
 inline constexpr Duration kRetryBaseDelay = milliseconds(2);
 inline constexpr Duration kRetryMaxDelay = milliseconds(50);
+// A hedge is sent when this share of recent replies of the group came sooner.
+inline constexpr Fraction kHedgeQuantile{0.95};
+// Hedges wait at least this multiple of the median, so that a group with
+// little variance does not spend its budget on replies that are about to come.
+inline constexpr double kHedgeMedianFactor = 1.5;
+// Median over its long-term value from which a group counts as overloaded as a
+// whole; a hedge would then only lengthen the queues.
+inline constexpr double kHedgeOverloadFactor = 3.0;
+// Replies of a group before its learned delay replaces the initial one.
+inline constexpr uint32_t kHedgeMinReplies = 20;
+// Replies after which older ones count half.
+inline constexpr uint32_t kHedgeWindowReplies = 200;
+// Shard groups whose latency is remembered, over all teams.
+inline constexpr size_t kMaxHedgeGroups = 65536;
+// Tokens a team may save up; bounds a burst of hedges and retries.
+inline constexpr double kRetryBudgetCap = 50.0;
+// Tokens a new team starts with and that hedges leave for retries.
+inline constexpr double kRetryReserve = 5.0;
+
+// --- Query engine ---
+// Wait before another try when no server of a group can take work, if no
+// release of one comes first.
+inline constexpr Duration kCapacityRetryDelay = milliseconds(5);
+// Sub-requests that may wait for one server; more only poll.
+inline constexpr size_t kMaxCapacityWaiters = 1024;
+// How often and how long a query looks for a newer snapshot when no replica of
+// a group serves the pinned one.
+inline constexpr Duration kSnapshotPollDelay = milliseconds(5);
+inline constexpr Duration kSnapshotPollLimit = milliseconds(250);
+inline constexpr uint32_t kMaxSnapshotRestarts = 2;
+// An operation with less time left is not dispatched.
+inline constexpr Duration kMinOperationTime = milliseconds(5);
 
 // --- Limits ---
 inline constexpr uint32_t kFairShareWeight = 1;
 inline constexpr uint32_t kMaxQueuedPerTeam = 256;
+// Requests that wait at a server beyond its slots, over all instances.
+inline constexpr uint32_t kServerQueue = 2;
+// Latency over the server's own baseline from which its limit shrinks.
+inline constexpr double kLimitLatencyFactor = 2.5;
+inline constexpr double kLimitDecrease = 0.7;
+// Time for which a server that refused for overload is avoided, if it named
+// none itself, and the longest time that it may name.
+inline constexpr Duration kOverloadBackoff = milliseconds(5);
+inline constexpr Duration kMaxOverloadBackoff = seconds(1);
+
+// --- Admission ---
+// Capacity of a pool until it is set, in whole requests.
+inline constexpr uint32_t kInitialPoolCapacity = 64;
+inline constexpr double kAdmissionDecrease = 0.9;
+// Latency over the pool's baseline from which its limit shrinks.
+inline constexpr double kAdmissionLatencyFactor = 2.0;
+// A queue whose oldest request has waited longer than the target for a whole
+// interval serves the newest request first.
+inline constexpr Duration kQueueTarget = milliseconds(10);
+inline constexpr Duration kQueueInterval = milliseconds(100);
+
+// --- Replica choice ---
+// Time in which a latency estimate without new replies halves, so that a slow
+// server is tried again.
+inline constexpr Duration kLatencyHalfLife = seconds(5);
+inline constexpr Duration kMinLatencyEstimate = std::chrono::microseconds(100);
+// Weight of load that a server reports against load that this instance knows.
+inline constexpr double kLoadHintWeight = 0.3;
+// Time in which the weight of a reported load halves.
+inline constexpr Duration kLoadHintHalfLife = milliseconds(50);
+// Servers that no snapshot has listed for this time are forgotten.
+inline constexpr Duration kServerRetention = minutes(10);
+inline constexpr Duration kServerSweepPeriod = seconds(30);
 
 // --- Backend connections ---
 inline constexpr Duration kConnectTimeout = milliseconds(250);
 inline constexpr Duration kBackendIdleTimeout = seconds(60);
 inline constexpr size_t kMaxBackendReplyBytes = 8 * 1024 * 1024;
+// Share of a server's connections kept free for instances that arrive before
+// those they replace have closed theirs.
+inline constexpr Fraction kConnectionReserve{0.25};
+inline constexpr uint32_t kBackendShards = 4;
+// Applies until SetConnectionLimit() is called for a server.
+inline constexpr uint32_t kBackendConnections = 4;
+// Time without a reply byte after which a connection is checked, if the caller
+// of the transport gives no expected time.
+inline constexpr Duration kProgressTimeout = milliseconds(250);
+inline constexpr Duration kProbeTimeout = milliseconds(500);
+inline constexpr Duration kCancelTimeout = milliseconds(250);
+// Unacknowledged data older than this breaks a backend connection.
+inline constexpr Duration kTcpUserTimeout = seconds(2);
+inline constexpr seconds kTcpKeepaliveIdle{5};
+inline constexpr seconds kTcpKeepaliveInterval{2};
+inline constexpr uint32_t kMaxReplyNesting = 64;
+// Cancelled ids per server that wait to be sent; more are dropped.
+inline constexpr size_t kMaxPendingCancels = 64;
 
 // --- Outlier ejection ---
 inline constexpr Fraction kMaxEjectedFraction{0.5};
 inline constexpr Duration kBaseEjection = seconds(2);
 inline constexpr Duration kSlowStart = seconds(5);
+inline constexpr Duration kMaxEjection = seconds(60);
+// Ejection times vary by this share, so that instances do not probe at once.
+inline constexpr Fraction kEjectionJitter{0.25};
+// Healthy time after which earlier ejections no longer lengthen the next.
+inline constexpr Duration kEjectionMemory = minutes(5);
+inline constexpr uint32_t kConsecutiveFailures = 5;
+inline constexpr uint32_t kConsecutiveConnectFailures = 3;
+// A server is an outlier if its latency exceeds the median of its peers by this
+// factor and is at least the floor.
+inline constexpr double kOutlierLatencyFactor = 5.0;
+inline constexpr Duration kOutlierLatencyFloor = milliseconds(20);
+inline constexpr uint32_t kOutlierMinReplies = 10;
+// Share of its usual load that a cold server gets first.
+inline constexpr Fraction kSlowStartShare{0.1};
+
+// --- Drain marks of servers; each is renewed while its source repeats it ---
+inline constexpr Duration kDrainMark = seconds(60);
+// Short, so that instances do not keep each other's marks alive.
+inline constexpr Duration kPeerDrainMark = seconds(10);
+// For a server that still answers but reports that it is draining.
+inline constexpr Duration kDrainHintMark = seconds(10);
 
 // --- Operations ---
 inline constexpr Duration kClaimRetention = hours(24);
@@ -73,14 +188,59 @@
 inline constexpr Fraction kLatencyTarget{0.99};
 inline constexpr Fraction kCoverageTarget{0.999};
 
+// --- Burn counts ---
+// Period at which the aggregator of a data centre collects and writes counts.
+inline constexpr Duration kBurnCollectPeriod = seconds(60);
+// One-minute buckets that an instance keeps while they cannot be made durable:
+// six hours of an outage of the platform.
+inline constexpr size_t kBurnRetainedBuckets = 360;
+// Bounds the memory of the aggregator when instances catch up after an outage.
+inline constexpr size_t kBurnBucketsPerResponse = 10;
+inline constexpr size_t kBurnPeerCallsInFlight = 16;
+// Largest value that the platform takes: 1 MB.
+inline constexpr size_t kMaxBurnValueBytes = 1'000'000;
+// A leaving instance writes its last counts itself; it competes with the
+// aggregator and with other leaving instances.
+inline constexpr int kBurnHandOverAttempts = 6;
+inline constexpr Duration kBurnHandOverBackoff = milliseconds(200);
+inline constexpr size_t kBurnCausesPerCell = 16;
+// Ages up to which counts are kept by the minute, by five minutes and by the
+// hour. Each exceeds the report windows that it serves by a margin.
+inline constexpr Duration kBurnMinuteCells = minutes(75);
+inline constexpr Duration kBurnFiveMinuteCells = hours(7);
+inline constexpr Duration kBurnHourCells = hours(74);
+// An instance that could not be collected for this long loses older counts.
+inline constexpr Duration kBurnWatermarkRetention = hours(6);
+// Burn rates of the alerts. At 14.4, one hour uses up 20 % of a budget of 3 d.
+inline constexpr double kPageBurnRate = 14.4;
+inline constexpr double kTicketBurnRate = 1.0;
+
 // --- Settings spread and membership ---
 inline constexpr uint32_t kWatchersPerDataCentre = 2;
 inline constexpr Duration kDigestPeriod = milliseconds(500);
 inline constexpr Duration kWatchTimeout = seconds(30);
 inline constexpr Duration kInstanceListPeriod = seconds(1);
+// Platform calls for settings and membership, per data centre and second.
+inline constexpr uint32_t kPlatformCallsPerSecond = 100;
 inline constexpr uint32_t kRememberedChangeIds = 16;
 inline constexpr size_t kMaxSettingsBytes = 1024 * 1024;
 
+// --- Calls between instances ---
+inline constexpr Duration kPeerCallTimeout = milliseconds(1000);
+inline constexpr Duration kPeerConnectTimeout = milliseconds(250);
+inline constexpr uint32_t kPeerThreads = 2;
+// Kept connections to peers, per thread.
+inline constexpr uint32_t kPeerConnectionsPerThread = 16;
+inline constexpr uint32_t kPeerListenerThreads = 1;
+inline constexpr uint32_t kMaxPeerConnections = 1024;
+inline constexpr Duration kPeerIdleTimeout = seconds(30);
+inline constexpr size_t kMaxQueuedPeerCalls = 256;
+inline constexpr size_t kMaxPeerMessageBytes = size_t{4} * 1024 * 1024;
+// A pull response stops after this many bytes of settings; the rest is pulled
+// with the next call.
+inline constexpr size_t kMaxPulledBytes = size_t{2} * 1024 * 1024;
+inline constexpr uint32_t kMaxPeerListLength = 10000;
+
 // --- Platform calls ---
 inline constexpr Duration kPlatformConnectTimeout = milliseconds(250);
 inline constexpr Duration kPlatformCallTimeout = milliseconds(2000);
@@ -98,6 +258,10 @@
 inline constexpr Duration kDrainNotice = seconds(5);
 inline constexpr Duration kDrainLimit = seconds(60);
 
+// --- Threads and logs ---
+inline constexpr uint32_t kTimerThreads = 2;
+inline constexpr uint32_t kBackendThreads = 2;
+
 // --- Sharding of state ---
 inline constexpr size_t kStateShards = 16;
 
--- /dev/null
+++ b/src/decision/routing/concurrency_limit.cc
@@ -0,0 +1,75 @@
+#include "decision/routing/concurrency_limit.h"
+
+#include <algorithm>
+
+#include "decision/routing/connection_quota.h"
+#include "wasabihook/config.h"
+
+namespace wasabihook {
+namespace {
+
+constexpr double kRecentStep = 0.2;
+constexpr double kBaselineFall = 0.2;
+constexpr double kBaselineRise = 0.005;
+
+}  // namespace
+
+void ConcurrencyLimit::Configure(const ServerShape& shape,
+                                 uint32_t live_instances) {
+  if (shape.slots == m_shape.slots &&
+      shape.max_connections == m_shape.max_connections &&
+      live_instances == m_live_instances) {
+    return;
+  }
+  m_shape = shape;
+  m_live_instances = live_instances;
+  const uint32_t slots = std::max<uint32_t>(shape.slots, 1);
+  m_max = std::min(slots + config::kServerQueue,
+                   ConnectionQuota(shape.max_connections, live_instances));
+  if (!m_learned) {
+    m_limit = std::max(slots / std::max(live_instances, 1U), 1U);
+  }
+  m_limit = std::clamp(m_limit, 1.0, m_max);
+}
+
+void ConcurrencyLimit::OnSuccess(Duration latency,
+                                 uint32_t outstanding,
+                                 TimePoint now) {
+  const auto micros = static_cast<double>(latency.count());
+  if (m_baseline == 0) {
+    m_baseline = micros;
+    m_recent = micros;
+  }
+  m_recent += (micros - m_recent) * kRecentStep;
+  m_baseline += (micros - m_baseline) *
+                (micros > m_baseline ? kBaselineRise : kBaselineFall);
+  if (outstanding < value()) {
+    return;  // The limit was not reached, so nothing shows that it matters.
+  }
+  m_learned = true;
+  if (m_recent > m_baseline * config::kLimitLatencyFactor) {
+    Decrease(now);
+  } else {
+    m_limit = std::min(m_limit + 1 / m_limit, m_max);
+  }
+}
+
+void ConcurrencyLimit::OnRefused(TimePoint now) {
+  m_learned = true;
+  Decrease(now);
+}
+
+void ConcurrencyLimit::Decrease(TimePoint now) {
+  // One decrease for each round of replies.
+  if (now - m_last_decrease < Duration(static_cast<int64_t>(m_recent))) {
+    return;
+  }
+  m_limit = std::max(1.0, m_limit * config::kLimitDecrease);
+  m_last_decrease = now;
+}
+
+uint32_t ConcurrencyLimit::value() const {
+  return static_cast<uint32_t>(m_limit);
+}
+
+}  // namespace wasabihook
