--- a/include/wasabihook/claim_store.h
+++ b/include/wasabihook/claim_store.h
@@ -21,9 +21,9 @@
 struct OperationOutcome {
   RunState run_state = RunState::kUnknown;
   std::vector<std::string> rows;
+  SnapshotId snapshot;
   // The rows were too large to be kept; `rows` is empty.
   bool rows_dropped = false;
-  SnapshotId snapshot;
 };
 
 enum class ClaimStatus : uint8_t {
