--- a/src/peers/instance/burn_codec.cc
+++ b/src/peers/instance/burn_codec.cc
@@ -124,8 +124,8 @@
 Json::Value EncodeBurnRequest(const BurnCountsRequest& request) {
   Json::Value json(Json::objectValue);
   json["from"] = EncodeIdentity(request.from);
+  json["receiver"] = Json::UInt64(request.receiver.value());
   json["acknowledged"] = Json::UInt64(request.acknowledged);
-  json["offered"] = EncodeBuckets(request.offered);
   return json;
 }
 
@@ -138,8 +138,9 @@
 
 BurnCountsRequest DecodeBurnRequest(const Json::Value& params) {
   const ObjectReader reader(params, "");
-  return {DecodeIdentity(reader.Object("from")), reader.Number("acknowledged"),
-          reader.List("offered", DecodeBucket)};
+  return {DecodeIdentity(reader.Object("from")),
+          Incarnation(reader.Number("receiver")),
+          reader.Number("acknowledged")};
 }
 
 BurnCountsResponse DecodeBurnResponse(const Json::Value& result) {
--- a/tests/peer_transport_test.cc
+++ b/tests/peer_transport_test.cc
@@ -68,13 +68,14 @@
   bucket.teams.push_back(burn);
   PeerListener listener({}, [&](const PeerRequest& request) -> PeerResponse {
     const auto& counts = std::get<BurnCountsRequest>(request);
+    EXPECT_EQ(counts.receiver, Incarnation(9));
     EXPECT_EQ(counts.acknowledged, 6u);
-    return BurnCountsResponse{Identity("server"), counts.offered};
+    return BurnCountsResponse{Identity("server"), {bucket}};
   });
   HttpPeerTransport transport;
   const Response response =
       CallAndWait(transport, listener.address(),
-                  BurnCountsRequest{Identity("client"), 6, {bucket}});
+                  BurnCountsRequest{Identity("client"), Incarnation(9), 6});
   ASSERT_TRUE(response.has_value());
   const auto& buckets = std::get<BurnCountsResponse>(*response).buckets;
   ASSERT_EQ(buckets.size(), 1u);
--- a/tests/settings_parser_test.cc
+++ b/tests/settings_parser_test.cc
@@ -146,7 +146,7 @@
 
 // Guards against a documentation page that lags behind the schema.
 TEST(SettingsPageTest, ListsExactlyTheSchema) {
-  std::ifstream file(WASABIHOOK_SOURCE_DIR "/docs/settings.md");
+  std::ifstream file("docs/settings.md");
   std::stringstream page;
   page << file.rdbuf();
   const std::string marker =
