Fuzz the decision layer against an oracle

Command sequences of callers, re-sends, faults of servers and of the claim store, version changes, cancellations and drains run under the manual timer with the real routing components. The fingerprint of a search leaves its record key out, so that a varied key cannot evade quarantine.

--- a/src/decision/query/fingerprint.cc
+++ b/src/decision/query/fingerprint.cc
@@ -10,11 +10,15 @@
   // Each field is preceded by its length, so that shifting bytes from one field
   // to the next changes the value.
   std::string bytes = ToString(request.kind);
-  for (const std::string* field :
-       {&request.team.value(), &request.index_set.value(), &request.record_key,
-        &request.payload}) {
-    bytes += '\0' + std::to_string(field->size()) + ':';
-    bytes += *field;
+  const auto add = [&bytes](const std::string& field) {
+    bytes += '\0' + std::to_string(field.size()) + ':';
+    bytes += field;
+  };
+  add(request.team.value());
+  add(request.index_set.value());
+  add(request.payload);
+  if (request.kind != RequestKind::kSearch) {
+    add(request.record_key);
   }
   return Fingerprint(XXH64(bytes.data(), bytes.size(), 0));
 }
--- a/src/decision/query/fingerprint.h
+++ b/src/decision/query/fingerprint.h
@@ -6,8 +6,9 @@
 
 namespace wasabihook {
 
-// XXH64 over kind, team, index set, record key and payload. Every instance
-// computes the same value, so quarantine entries and claims can be compared.
+// XXH64 over kind, team, index set, payload and, unless it is a search, record
+// key. Every instance computes the same value, so quarantine entries and claims
+// can be compared.
 Fingerprint FingerprintOf(const CallerRequest& request);
 
 }  // namespace wasabihook
--- /dev/null
+++ b/tests/decision_backends.h
@@ -0,0 +1,250 @@
+#ifndef TESTS_DECISION_BACKENDS_H_
+#define TESTS_DECISION_BACKENDS_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "testing/fake_backend_transport.h"
+#include "testing/manual_timer_service.h"
+#include "wasabihook/random_source.h"
+#include "wasabihook/snapshot.h"
+
+namespace wasabihook::testing {
+
+using std::chrono::milliseconds;
+
+// The data of one version: groups and records differ between versions, so that
+// a merge of two versions shows.
+inline SnapshotPtr MakeVersion(const TeamId& team,
+                               const IndexSetId& index_set,
+                               uint64_t version) {
+  auto snapshot = std::make_shared<IndexSetSnapshot>();
+  snapshot->team = team;
+  snapshot->index_set = index_set;
+  snapshot->id = {IndexVersion(version), MapVersion(version / 2)};
+  snapshot->settings_revision = Revision(version);
+  const uint64_t groups = 2 + version % 3;
+  for (uint64_t g = 0; g < groups; ++g) {
+    ShardGroup group;
+    group.id = ShardGroupId("g" + std::to_string(g));
+    group.records = 100 * version + g;
+    for (const char* replica : {"a", "b"}) {
+      group.servers.push_back(
+          {ServerId(group.id.value() + replica), DataCentreId("dc")});
+    }
+    snapshot->groups.push_back(std::move(group));
+  }
+  return snapshot;
+}
+
+// Backend servers that misbehave at random and record what they ran. A request
+// is known by its record key, which the test makes unique.
+class DecisionBackends {
+ public:
+  DecisionBackends(ManualTimerService* timers,
+                   FakeBackendTransport* transport,
+                   RandomSource random)
+      : m_timers(timers), m_transport(transport), m_random(std::move(random)) {
+    m_transport->SetOnSend([this](const SubRequest& sub) { OnSend(sub); });
+  }
+
+  // What the servers ran: record keys of searches and fetches.
+  bool Ran(const std::string& record_key) const {
+    return m_ran.contains(record_key);
+  }
+  // Runs of the operation with this key.
+  int RunsOf(const IdempotencyKey& key) const {
+    const auto it = m_operation_runs.find(key);
+    return it == m_operation_runs.end() ? 0 : it->second;
+  }
+  // Servers serve `oldest` and newer versions.
+  void ServeFrom(uint64_t oldest, SnapshotPtr newest) {
+    m_oldest = oldest;
+    m_versions[newest->id] = newest;
+  }
+  // Per mille of sub-requests that meet a fault.
+  void SetFaults(uint32_t per_mille) { m_faults = per_mille; }
+
+  // Fails everything in flight on `server`; it takes no connection for a while.
+  void Crash(const ServerId& server) {
+    m_down_until[server] = m_timers->Now() + milliseconds(200);
+    for (const SubRequest& sub : m_transport->Outstanding()) {
+      if (sub.server == server) {
+        m_transport->Fail(sub.id, SubOutcome::kConnectionLost);
+      }
+    }
+  }
+
+  static std::string RowOf(const SubRequest& sub) {
+    return sub.record_key + "|" + sub.payload + "|" + sub.group.value() + "|" +
+           std::to_string(sub.snapshot.index_version.value());
+  }
+
+ private:
+  enum Fault : uint8_t {
+    kSlow,
+    kOverloaded,
+    kDraining,
+    kNoConnection,
+    kGroupNotHeld,
+    kSilent,
+    kReplyLost,
+    kConnectionLostAfterRun,
+    kConnectionLostBeforeRun,
+    kServerError,
+    kTruncated,
+    kOtherSnapshot,
+    kSwapped,
+    kDuplicated,
+    kFaultCount
+  };
+
+  void OnSend(const SubRequest& sub) {
+    if (m_timers->Now() < m_down_until[sub.server]) {
+      FailLater(sub, SubOutcome::kConnectFailed);
+    } else if (sub.snapshot.index_version.value() < m_oldest ||
+               !m_versions.contains(sub.snapshot)) {
+      FailLater(sub, SubOutcome::kSnapshotNotServed);
+    } else if (sub.payload == "poison") {
+      After(milliseconds(2), [this, sub] {
+        Run(sub);
+        Crash(sub.server);
+      });
+    } else if (m_random() % 1000 < m_faults) {
+      Misbehave(sub, static_cast<Fault>(m_random() % kFaultCount));
+    } else {
+      After(Latency(20), [this, sub] { Answer(sub); });
+    }
+  }
+
+  void Misbehave(const SubRequest& sub, Fault fault) {
+    switch (fault) {
+      case kSlow:
+        After(Latency(1500), [this, sub] { Answer(sub); });
+        return;
+      case kOverloaded:
+        FailLater(sub, SubOutcome::kOverloaded);
+        return;
+      case kDraining:
+        FailLater(sub, SubOutcome::kDraining);
+        return;
+      case kNoConnection:
+        FailLater(sub, SubOutcome::kNoConnection);
+        return;
+      case kGroupNotHeld:
+        FailLater(sub, SubOutcome::kGroupNotHeld);
+        return;
+      case kSilent:
+        return;
+      case kReplyLost:
+        Run(sub);
+        return;
+      case kConnectionLostAfterRun:
+        Run(sub);
+        FailLater(sub, SubOutcome::kConnectionLost);
+        return;
+      case kConnectionLostBeforeRun:
+        FailLater(sub, SubOutcome::kConnectionLost);
+        return;
+      case kServerError:
+        Run(sub);
+        FailLater(sub, SubOutcome::kServerError);
+        return;
+      default:
+        After(Latency(20), [this, sub, fault] { AnswerWrongly(sub, fault); });
+    }
+  }
+
+  void AnswerWrongly(const SubRequest& sub, Fault fault) {
+    SubReply reply = Execute(sub);
+    if (fault == kTruncated && sub.kind != RequestKind::kSearch) {
+      // The transport compares the rows with their stated number.
+      reply.outcome = SubOutcome::kInvalidReply;
+    } else if (fault == kTruncated) {
+      --reply.records_searched;
+      reply.rows.clear();
+    } else if (fault == kOtherSnapshot) {
+      reply.snapshot = m_versions.rbegin()->first;
+      reply.snapshot.index_version =
+          IndexVersion(reply.snapshot.index_version.value() + 1);
+    } else if (fault == kSwapped) {
+      // Only with one that ran: a refused request has no reply to be swapped.
+      for (const SubRequest& other : m_transport->Outstanding()) {
+        if (other.id != sub.id && m_run_ids.contains(other.id)) {
+          reply = Execute(other);
+        }
+      }
+    }
+    m_transport->Deliver(sub.id, reply);
+    if (fault == kDuplicated) {
+      m_transport->Deliver(sub.id, reply);
+      After(Latency(50),
+            [this, sub, reply] { m_transport->Deliver(sub.id, reply); });
+    }
+  }
+
+  void Answer(const SubRequest& sub) {
+    m_transport->Deliver(sub.id, Execute(sub));
+  }
+
+  SubReply Execute(const SubRequest& sub) {
+    Run(sub);
+    SubReply reply;
+    reply.id = sub.id;
+    reply.outcome = SubOutcome::kOk;
+    reply.snapshot = sub.snapshot;
+    for (const ShardGroup& group : m_versions.at(sub.snapshot)->groups) {
+      if (group.id == sub.group) {
+        reply.records_searched = group.records;
+      }
+    }
+    reply.rows = {RowOf(sub)};
+    return reply;
+  }
+
+  // Each sub-request runs once, however often its reply is made up.
+  void Run(const SubRequest& sub) {
+    if (!m_run_ids.insert(sub.id).second) {
+      return;
+    }
+    if (sub.kind == RequestKind::kOperation) {
+      ++m_operation_runs[sub.idempotency_key];
+    } else {
+      m_ran.insert(sub.record_key);
+    }
+  }
+
+  void FailLater(const SubRequest& sub, SubOutcome outcome) {
+    After(Latency(5),
+          [this, sub, outcome] { m_transport->Fail(sub.id, outcome); });
+  }
+
+  Duration Latency(int64_t max_ms) {
+    return milliseconds(1 + static_cast<int64_t>(m_random() % max_ms));
+  }
+
+  void After(Duration delay, std::function<void()> callback) {
+    m_timers->SubscribeOnce(delay, std::move(callback));
+  }
+
+  ManualTimerService* const m_timers;
+  FakeBackendTransport* const m_transport;
+  const RandomSource m_random;
+  uint32_t m_faults = 200;
+  uint64_t m_oldest = 0;
+  std::map<SnapshotId, SnapshotPtr> m_versions;
+  std::map<ServerId, TimePoint> m_down_until;
+  std::set<std::string> m_ran;
+  std::set<SubRequestId> m_run_ids;
+  std::map<IdempotencyKey, int> m_operation_runs;
+};
+
+}  // namespace wasabihook::testing
+
+#endif  // TESTS_DECISION_BACKENDS_H_
--- /dev/null
+++ b/tests/decision_fuzz_test.cc
@@ -0,0 +1,423 @@
+// Random command sequences against the whole decision layer under the manual
+// timer, checked by the oracle in DecisionWorld.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "decision_world.h"
+
+namespace wasabihook::testing {
+
+DecisionWorld::DecisionWorld(uint64_t seed, TeamSettings team)
+    : m_settings(std::move(team)),
+      m_servers(ServerTable::Create(&m_timers, MakeRandomSource(seed + 1))),
+      m_admission(AdmissionController::Create(&m_timers)),
+      m_backends(&m_timers, &m_transport, MakeRandomSource(seed)) {
+  m_settings.team = m_team;
+  m_settings.max_deadline = milliseconds(1000);
+  const SnapshotPtr first = MakeVersion(m_team, m_index_set, 1);
+  m_snapshots[first->id] = first;
+  m_backends.ServeFrom(1, first);
+  OfferSettings();
+  m_tier = QueryTier::Create(
+      {.timers = &m_timers,
+       .transport = &m_transport,
+       .settings = &m_view,
+       .servers = m_servers.get(),
+       .hedging = m_hedging.get(),
+       .retry_budget = m_budget.get(),
+       .admission = m_admission.get(),
+       .claims = &m_claims,
+       .quarantine = &m_quarantine,
+       .random = MakeRandomSource(seed + 2),
+       .id_prefix = "fuzz",
+       .on_outcome = [this](const RequestOutcome&) { ++m_outcomes; }});
+}
+
+void DecisionWorld::OfferSettings() {
+  m_settings.revision = Revision(m_settings_version);
+  m_settings.index_sets[m_index_set] =
+      MakeVersion(m_team, m_index_set, m_settings_version);
+  m_view.Put(m_settings);
+}
+
+CallerRequest DecisionWorld::Make(RequestKind kind, std::string payload) {
+  CallerRequest request;
+  request.kind = kind;
+  request.id = RequestId("r" + std::to_string(m_callers.size()));
+  request.team = m_team;
+  request.index_set = m_index_set;
+  request.payload = std::move(payload);
+  request.record_key = request.id.value();
+  return request;
+}
+
+void DecisionWorld::Search(std::string payload,
+                           std::optional<Duration> timeout) {
+  CallerRequest request = Make(RequestKind::kSearch, std::move(payload));
+  request.timeout = timeout;
+  Submit(std::move(request));
+}
+
+void DecisionWorld::Fetch(std::optional<Duration> timeout) {
+  CallerRequest request = Make(RequestKind::kFetch, "");
+  request.timeout = timeout;
+  Submit(std::move(request));
+}
+
+void DecisionWorld::Operation(std::optional<Duration> timeout) {
+  CallerRequest request = Make(RequestKind::kOperation, "reserve");
+  request.idempotency_key = IdempotencyKey("k" + request.id.value());
+  request.issued_at = m_timers.WallNow();
+  request.timeout = timeout;
+  m_operations.push_back(m_callers.size());
+  Submit(std::move(request));
+}
+
+void DecisionWorld::Resend(size_t which, bool other_body) {
+  if (m_operations.empty()) {
+    return;
+  }
+  CallerRequest request =
+      m_callers[m_operations[which % m_operations.size()]].request;
+  request.id = RequestId("r" + std::to_string(m_callers.size()));
+  if (other_body) {
+    request.payload = "another body";
+  }
+  Submit(std::move(request));
+}
+
+void DecisionWorld::Submit(CallerRequest request) {
+  Caller& caller = m_callers.emplace_back();
+  caller.request = request;
+  caller.after_drain = m_draining;
+  caller.deadline = m_timers.Now() +
+                    std::min(request.timeout.value_or(m_settings.max_deadline),
+                             m_settings.max_deadline);
+  caller.handle = m_tier->Submit(
+      std::move(request),
+      [this, &caller](Reply reply) { OnReply(caller, std::move(reply)); });
+  Expect(!caller.reply, "no reply from within Submit()");
+}
+
+void DecisionWorld::Cancel(size_t which) {
+  if (m_callers.empty()) {
+    return;
+  }
+  Caller& caller = m_callers[which % m_callers.size()];
+  if (!caller.reply) {
+    caller.cancelled = true;
+    m_tier->Cancel(caller.handle);
+  }
+}
+
+void DecisionWorld::Crash(size_t which) {
+  const auto& groups = m_settings.index_sets[m_index_set]->groups;
+  const ShardGroup& group = groups[which % groups.size()];
+  m_backends.Crash(group.servers[which / 7 % group.servers.size()].id);
+}
+
+void DecisionWorld::DropOldVersions() {
+  m_backends.ServeFrom(m_backend_version,
+                       MakeVersion(m_team, m_index_set, m_backend_version));
+}
+
+void DecisionWorld::NewBackendVersion() {
+  ++m_backend_version;
+  const SnapshotPtr snapshot =
+      MakeVersion(m_team, m_index_set, m_backend_version);
+  m_snapshots[snapshot->id] = snapshot;
+  m_backends.ServeFrom(m_backend_version - 1, snapshot);
+}
+
+void DecisionWorld::NewSettingsVersion() {
+  m_settings_version = m_backend_version;
+  OfferSettings();
+}
+
+void DecisionWorld::Drain() {
+  if (!m_draining) {
+    m_draining = true;
+    m_tier->Drain([this] {
+      ++m_drained;
+      for (const Caller& caller : m_callers) {
+        Expect(caller.reply || caller.cancelled || caller.after_drain,
+               "drained means that every request was answered");
+      }
+    });
+  }
+}
+
+void DecisionWorld::Expect(bool holds, const std::string& rule) {
+  if (!holds) {
+    m_violations.push_back(rule);
+  }
+}
+
+void DecisionWorld::OnReply(Caller& caller, Reply reply) {
+  ++m_replies;
+  Expect(!caller.reply, "one reply per request");
+  Expect(!caller.cancelled, "no reply to a caller that went away");
+  Expect(m_timers.Now() <= caller.deadline, "reply by the deadline");
+  if (const auto* answer = std::get_if<Answer>(&reply)) {
+    Expect(answer->request_id == caller.request.id, "reply to its own caller");
+    CheckAnswer(caller, *answer);
+  } else {
+    const auto& error = std::get<ErrorAnswer>(reply);
+    Expect(error.request_id == caller.request.id, "reply to its own caller");
+    Expect(caller.after_drain || error.code != ErrorCode::kShuttingDown,
+           "drain refuses only later requests");
+    CheckError(caller, error);
+  }
+  caller.reply = std::move(reply);
+}
+
+void DecisionWorld::CheckAnswer(const Caller& caller, const Answer& answer) {
+  const CallerRequest& request = caller.request;
+  if (request.kind == RequestKind::kOperation) {
+    const std::string key = request.record_key + "|" + request.payload + "|";
+    Expect(answer.rows.size() == 1 && answer.rows[0].starts_with(key),
+           "an operation gets its own result");
+    Expect(m_backends.RunsOf(request.idempotency_key) == 1,
+           "an answered operation ran exactly once");
+    return;
+  }
+  const auto it = m_snapshots.find(answer.snapshot);
+  Expect(it != m_snapshots.end(), "the answer names a snapshot");
+  if (it != m_snapshots.end()) {
+    CheckQueryAnswer(caller, answer, *it->second);
+  }
+}
+
+void DecisionWorld::CheckQueryAnswer(const Caller& caller,
+                                     const Answer& answer,
+                                     const IndexSetSnapshot& snapshot) {
+  const CallerRequest& request = caller.request;
+  std::vector<std::string> rows;
+  Coverage expected;
+  const std::set<ShardGroupId> missing(answer.coverage.missing_groups.begin(),
+                                       answer.coverage.missing_groups.end());
+  for (size_t g = 0; g < snapshot.groups.size(); ++g) {
+    const ShardGroup& group = snapshot.groups[g];
+    if (request.kind == RequestKind::kFetch &&
+        snapshot.GroupIndexFor(request.record_key) != g) {
+      continue;
+    }
+    ++expected.groups_asked;
+    expected.records_asked += group.records;
+    if (!missing.contains(group.id)) {
+      ++expected.groups_covered;
+      expected.records_covered += group.records;
+      SubRequest sub;
+      sub.record_key = request.record_key;
+      sub.payload = request.payload;
+      sub.group = group.id;
+      sub.snapshot = snapshot.id;
+      rows.push_back(DecisionBackends::RowOf(sub));
+    }
+  }
+  Expect(
+      answer.rows == rows,
+      "rows of exactly the covered groups, of one snapshot, for this caller");
+  const Coverage& stated = answer.coverage;
+  Expect(stated.groups_asked == expected.groups_asked &&
+             stated.groups_covered == expected.groups_covered &&
+             stated.records_asked == expected.records_asked &&
+             stated.records_covered == expected.records_covered &&
+             missing.size() == stated.groups_asked - stated.groups_covered,
+         "coverage is exact");
+  Expect(static_cast<double>(stated.records_covered) >=
+             m_settings.least_coverage.value *
+                 static_cast<double>(stated.records_asked),
+         "an answer has the least coverage");
+}
+
+void DecisionWorld::CheckError(const Caller& caller, const ErrorAnswer& error) {
+  if (caller.request.kind == RequestKind::kOperation) {
+    return;
+  }
+  const bool ran = m_backends.Ran(caller.request.record_key);
+  Expect(error.run_state != RunState::kRan || ran, "ran means ran");
+}
+
+void DecisionWorld::Finish() {
+  m_timers.Advance(std::chrono::seconds(10));
+  for (const Caller& caller : m_callers) {
+    CheckCallerAtEnd(caller);
+  }
+  CheckOperationsAtEnd();
+  Expect(m_tier->in_flight() == 0, "nothing stays in flight");
+  Expect(m_outcomes == m_replies, "one outcome per reply");
+  Expect(m_drained == (m_draining ? 1 : 0), "drain ends once");
+  for (const ServerStatus& server : m_servers->Status()) {
+    Expect(server.outstanding == 0, "every server is released");
+  }
+  const std::vector<SubRequestId> cancelled = m_transport.Cancelled();
+  const std::set<SubRequestId> cut(cancelled.begin(), cancelled.end());
+  for (const SubRequest& sub : m_transport.Sent()) {
+    Expect(sub.kind != RequestKind::kOperation || !cut.contains(sub.id),
+           "a dispatched operation is never cut");
+  }
+}
+
+void DecisionWorld::CheckCallerAtEnd(const Caller& caller) {
+  Expect(caller.reply || caller.cancelled, "every request gets its reply");
+  if (!caller.reply || caller.request.kind == RequestKind::kOperation) {
+    return;
+  }
+  // Checked at the end, so that a sub-request that runs later counts too.
+  const auto* error = std::get_if<ErrorAnswer>(&*caller.reply);
+  Expect(!error || error->run_state != RunState::kNotRun ||
+             !m_backends.Ran(caller.request.record_key),
+         "not_run means not run");
+}
+
+void DecisionWorld::CheckOperationsAtEnd() {
+  struct Seen {
+    bool may_have_run = false;
+    bool answered = false;
+  };
+  std::map<IdempotencyKey, Seen> seen;
+  for (const Caller& caller : m_callers) {
+    if (caller.request.kind != RequestKind::kOperation) {
+      continue;
+    }
+    Seen& key = seen[caller.request.idempotency_key];
+    const auto* error =
+        caller.reply ? std::get_if<ErrorAnswer>(&*caller.reply) : nullptr;
+    key.answered = key.answered || (caller.reply && !error);
+    key.may_have_run =
+        key.may_have_run || !error || error->run_state != RunState::kNotRun;
+  }
+  for (const auto& [key, replies] : seen) {
+    const int runs = m_backends.RunsOf(key);
+    Expect(runs <= 1, "an operation runs at most once");
+    Expect(!replies.answered || runs == 1, "an answered operation ran");
+    Expect(replies.may_have_run || runs == 0,
+           "an operation that was not run was not run");
+  }
+}
+
+namespace {
+
+// Commands of the fuzz test; weighted by repetition.
+enum class Command : uint8_t {
+  kSearch,
+  kSearchShort,
+  kPoison,
+  kFetch,
+  kOperation,
+  kOperationShort,
+  kResend,
+  kResendSoon,
+  kResendOtherBody,
+  kCancel,
+  kCrash,
+  kBackendVersion,
+  kSettingsVersion,
+  kBothVersions,
+  kDropOldVersions,
+  kClaimsDown,
+  kClaimsUp,
+  kClaimsSlow,
+  kClaimsLoseResponse,
+  kFaultsHigh,
+  kFaultsLow,
+  kDrain,
+  kAdvance,
+  kCount
+};
+
+void Apply(DecisionWorld& world, Command command, uint16_t argument) {
+  const Duration timeout = milliseconds(1 + argument % 300);
+  switch (command) {
+    case Command::kSearch:
+      return world.Search("lens", std::nullopt);
+    case Command::kSearchShort:
+      return world.Search("lens", timeout);
+    case Command::kPoison:
+      return world.Search("poison", std::nullopt);
+    case Command::kFetch:
+      return world.Fetch(std::nullopt);
+    case Command::kOperation:
+      return world.Operation(std::nullopt);
+    case Command::kOperationShort:
+      return world.Operation(timeout);
+    case Command::kResend:
+      world.timers().Advance(milliseconds(argument % 50));
+      return world.Resend(argument, false);
+    case Command::kResendSoon:
+      return world.Resend(argument, false);
+    case Command::kResendOtherBody:
+      return world.Resend(argument, true);
+    case Command::kCancel:
+      return world.Cancel(argument);
+    case Command::kCrash:
+      return world.Crash(argument);
+    case Command::kBackendVersion:
+      return world.NewBackendVersion();
+    case Command::kSettingsVersion:
+      return world.NewSettingsVersion();
+    case Command::kBothVersions:
+      world.NewBackendVersion();
+      return world.NewSettingsVersion();
+    case Command::kDropOldVersions:
+      return world.DropOldVersions();
+    case Command::kClaimsDown:
+      return world.claims().SetUnavailable(true);
+    case Command::kClaimsUp:
+      return world.claims().SetUnavailable(false);
+    case Command::kClaimsSlow:
+      return world.claims().SetDelay(milliseconds(argument % 1200));
+    case Command::kClaimsLoseResponse:
+      return world.claims().LoseResponses(1);
+    case Command::kFaultsHigh:
+      return world.backends().SetFaults(600);
+    case Command::kFaultsLow:
+      return world.backends().SetFaults(50);
+    case Command::kDrain:
+      // Seldom, because later requests are refused.
+      return argument % 4 == 0 ? world.Drain() : void();
+    case Command::kAdvance:
+    case Command::kCount:
+      return world.timers().Advance(milliseconds(argument % 400));
+  }
+}
+
+TeamSettings DrawSettings(uint8_t bits) {
+  TeamSettings team;
+  team.coverage_policy =
+      bits & 1 ? CoveragePolicy::kEarly : CoveragePolicy::kWait;
+  team.least_coverage = Fraction{bits & 2 ? 0.0 : 0.6};
+  team.canary = (bits & 4) != 0;
+  team.admission_control = (bits & 8) == 0;
+  team.extra_load_budget = Fraction{bits & 16 ? 0.05 : 1.0};
+  team.soft_deadline = milliseconds(60);
+  return team;
+}
+
+// Guards against every broken promise to callers, whatever servers, replies,
+// versions and the claim store do: one snapshot per answer, true coverage, the
+// caller's own rows, not_run only if not run, operations at most once, one
+// reply by the deadline, and a drain that cuts nothing.
+RC_GTEST_PROP(DecisionFuzzTest,
+              KeepsItsPromises,
+              (uint64_t seed, uint8_t bits)) {
+  const auto commands =
+      *rc::gen::arbitrary<std::vector<std::pair<uint8_t, uint16_t>>>();
+  DecisionWorld world(seed, DrawSettings(bits));
+  for (const auto& [kind, argument] : commands) {
+    const auto command =
+        static_cast<Command>(kind % (static_cast<int>(Command::kCount) + 1));
+    Apply(world, command, argument);
+    RC_ASSERT(world.violations() == std::vector<std::string>());
+  }
+  world.Finish();
+  RC_ASSERT(world.violations() == std::vector<std::string>());
+}
+
+}  // namespace
+}  // namespace wasabihook::testing
