--- a/tests/decision_backends.h
+++ b/tests/decision_backends.h
@@ -170,14 +170,16 @@
       --reply.records_searched;
       reply.rows.clear();
     } else if (fault == kOtherSnapshot) {
-      reply.snapshot = m_versions.rbegin()->first;
-      reply.snapshot.index_version =
-          IndexVersion(reply.snapshot.index_version.value() + 1);
+      // A server that moved on: rows of other data, as many records.
+      SubRequest moved = sub;
+      moved.snapshot.index_version =
+          IndexVersion(sub.snapshot.index_version.value() + 1);
+      reply.snapshot = moved.snapshot;
+      reply.rows = {RowOf(moved)};
     } else if (fault == kSwapped) {
-      // Only with one that ran: a refused request has no reply to be swapped.
       for (const SubRequest& other : m_transport->Outstanding()) {
-        if (other.id != sub.id && m_run_ids.contains(other.id)) {
-          reply = Execute(other);
+        if (other.id != sub.id && other.group == sub.group) {
+          reply = MakeReply(other);
         }
       }
     }
@@ -195,6 +197,10 @@
 
   SubReply Execute(const SubRequest& sub) {
     Run(sub);
+    return MakeReply(sub);
+  }
+
+  SubReply MakeReply(const SubRequest& sub) const {
     SubReply reply;
     reply.id = sub.id;
     reply.outcome = SubOutcome::kOk;
--- a/tests/decision_fuzz_test.cc
+++ b/tests/decision_fuzz_test.cc
@@ -164,12 +164,13 @@
   Expect(m_timers.Now() <= caller.deadline, "reply by the deadline");
   if (const auto* answer = std::get_if<Answer>(&reply)) {
     Expect(answer->request_id == caller.request.id, "reply to its own caller");
+    Expect(!caller.after_drain, "a drain refuses later requests");
     CheckAnswer(caller, *answer);
   } else {
     const auto& error = std::get<ErrorAnswer>(reply);
     Expect(error.request_id == caller.request.id, "reply to its own caller");
-    Expect(caller.after_drain || error.code != ErrorCode::kShuttingDown,
-           "drain refuses only later requests");
+    Expect(caller.after_drain == (error.code == ErrorCode::kShuttingDown),
+           "a drain refuses later requests and no others");
     CheckError(caller, error);
   }
   caller.reply = std::move(reply);
--- a/tests/decision_world.h
+++ b/tests/decision_world.h
@@ -78,8 +78,9 @@
   const TeamId m_team{"clerks"};
   const IndexSetId m_index_set{"counter-desk"};
   ManualTimerService m_timers;
-  // Replies that time out come after the caller's deadline.
-  FakeBackendTransport m_transport{&m_timers, milliseconds(3)};
+  // Time-outs, and replies that are only just not too late for the transport,
+  // come after the caller's deadline.
+  FakeBackendTransport m_transport{&m_timers, milliseconds(300)};
   FakeSettings m_view;
   FakeClaimStore m_claims{&m_timers};
   FakeQuarantine m_quarantine;
