--- a/src/testing/fake_claim_store.cc
+++ b/src/testing/fake_claim_store.cc
@@ -1,5 +1,7 @@
 #include "testing/fake_claim_store.h"
 
+#include <algorithm>
+
 namespace wasabihook::testing {
 
 FakeClaimStore::FakeClaimStore(TimerService* timers) : m_timers(timers) {}
@@ -35,7 +37,8 @@
     result.status = ClaimStatus::kMismatch;
   } else if (fresh ||
              (entry.outcome && entry.outcome->run_state == RunState::kNotRun)) {
-    entry = {fingerprint, std::to_string(m_next_nonce++), std::nullopt};
+    entry = {fingerprint, std::to_string(m_next_nonce++), std::nullopt,
+             m_lose == 0};
     result.status = ClaimStatus::kGranted;
     result.nonce = entry.nonce;
   } else if (entry.outcome) {
@@ -62,6 +65,14 @@
   }
 }
 
+size_t FakeClaimStore::Unrecorded() const {
+  std::lock_guard lock(m_mutex);
+  return static_cast<size_t>(
+      std::count_if(m_entries.begin(), m_entries.end(), [](const auto& entry) {
+        return entry.second.granted && !entry.second.outcome;
+      }));
+}
+
 void FakeClaimStore::SetDelay(Duration delay) {
   std::lock_guard lock(m_mutex);
   m_delay = delay;
--- a/src/testing/fake_claim_store.h
+++ b/src/testing/fake_claim_store.h
@@ -35,12 +35,15 @@
   void LoseResponses(uint32_t count);
   // Empty if there is no claim or no outcome.
   std::optional<OperationOutcome> OutcomeOf(const ClaimKey& key) const;
+  // Claims whose holder knows that it holds them and has recorded no outcome.
+  size_t Unrecorded() const;
 
  private:
   struct Entry {
     Fingerprint fingerprint;
     std::string nonce;
     std::optional<OperationOutcome> outcome;
+    bool granted = false;
   };
   using Key = std::pair<TeamId, IdempotencyKey>;
 
--- a/tests/decision_fuzz_test.cc
+++ b/tests/decision_fuzz_test.cc
@@ -277,6 +277,7 @@
 }
 
 void DecisionWorld::CheckOperationsAtEnd() {
+  Expect(m_claims.Unrecorded() == 0, "every granted claim gets an outcome");
   struct Seen {
     bool may_have_run = false;
     bool answered = false;
