Add the daemon

wasabihookd composes settings, routing, transport and the query tier behind the caller and admin listeners, with /healthz, /readyz, /metrics and /v1/status, and drains on SIGTERM.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -33,6 +33,8 @@
 inline constexpr Duration kMaxCallerDeadline = hours(1);
 // Greatest Unix time in milliseconds that is accepted (year 9999).
 inline constexpr int64_t kMaxUnixMillis = 253'402'300'799'999;
+// When a request that came before the settings may be sent again.
+inline constexpr Duration kNoSettingsRetry = seconds(1);
 // Time a stopping listener gives a new connection to send its first request.
 inline constexpr Duration kStopLinger = milliseconds(200);
 
--- a/src/peers/caller/caller_service.cc
+++ b/src/peers/caller/caller_service.cc
@@ -10,17 +10,23 @@
 
 #include "peers/caller/caller_codec.h"
 #include "runtime/logging.h"
+#include "wasabihook/config.h"
 
 namespace wasabihook::caller {
 namespace {
 
+// An unknown team's name is data of the caller.
+std::string KnownTeam(const ErrorAnswer& error, const CallerRequest& request) {
+  return error.code == ErrorCode::kUnknownTeam ? "" : request.team.value();
+}
+
 void LogReply(const Reply& reply,
               const CallerRequest& request,
               Duration latency) {
   const int64_t micros = latency.count();
   if (const auto* error = std::get_if<ErrorAnswer>(&reply)) {
     Log(LogLevel::kInfo, "request_failed", request.id,
-        {{"team", request.team.value()},
+        {{"team", KnownTeam(*error, request)},
          {"kind", ToString(request.kind)},
          {"error", ToString(error->code)},
          {"run_state", ToString(error->run_state)},
@@ -37,6 +43,14 @@
        {"latency_us", micros}});
 }
 
+ErrorAnswer NoSettings(const RequestId& id) {
+  return {.request_id = id,
+          .code = ErrorCode::kNoSettings,
+          .run_state = RunState::kNotRun,
+          .message = "This instance does not know the settings yet.",
+          .retry_after = config::kNoSettingsRetry};
+}
+
 }  // namespace
 
 class CallerService::Impl : public std::enable_shared_from_this<Impl> {
@@ -46,7 +60,11 @@
   void Handle(const HttpRequest& request, HttpResponder responder) {
     const RequestId id = DecodeRequestId(request).value_or(NewId());
     try {
-      Submit(DecodeRequest(request, id), std::move(responder));
+      CallerRequest decoded = DecodeRequest(request, id);
+      if (m_options.has_settings())
+        Submit(std::move(decoded), std::move(responder));
+      else
+        responder(EncodeError(NoSettings(id)));
     } catch (const InvalidRequest& error) {
       m_options.on_invalid(error.status());
       Log(LogLevel::kInfo, "request_invalid", id,
--- a/src/peers/caller/caller_service.h
+++ b/src/peers/caller/caller_service.h
@@ -20,6 +20,8 @@
   QueryTier* tier = nullptr;
   const TimerService* timers = nullptr;  // For latencies in the log.
   RandomSource random;                   // For ids of requests without one.
+  // False until settings are known; requests are refused until then.
+  std::function<bool()> has_settings = [] { return true; };
   // Called with the HTTP status of each request that is refused as invalid.
   std::function<void(int)> on_invalid = [](int) {};
 };
--- /dev/null
+++ b/src/runtime/daemon.cc
@@ -0,0 +1,211 @@
+#include "runtime/daemon.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "runtime/logging.h"
+#include "runtime/status.h"
+
+namespace wasabihook {
+namespace {
+
+// Request ids named in the log when requests are cut; the rest are counted.
+constexpr size_t kLoggedCutRequests = 100;
+
+HttpListenerOptions CallerOptions(const StartConfig& config) {
+  HttpListenerOptions options;
+  options.address = config.caller_address;
+  options.threads = config.caller_threads;
+  options.max_body_bytes = config.max_body_bytes;
+  options.max_header_bytes = config.max_header_bytes;
+  options.max_connections = config.max_connections;
+  options.idle_timeout = config.idle_timeout;
+  return options;
+}
+
+HttpListenerOptions AdminOptions(const StartConfig& config) {
+  HttpListenerOptions options;
+  options.address = config.admin_address;
+  options.threads = 1;
+  return options;
+}
+
+HttpResponse Plain(int status, std::string text) {
+  return {.status = status,
+          .body = std::move(text),
+          .content_type = "text/plain; charset=utf-8"};
+}
+
+}  // namespace
+
+Daemon::Daemon(StartConfig config, std::string version)
+    : m_config(std::move(config)),
+      m_version(std::move(version)),
+      m_parts(m_config),
+      m_callers(
+          {.tier = m_parts.tier.get(),
+           .timers = &m_parts.timers,
+           .random = m_parts.random,
+           .has_settings = [this] { return has_settings(); },
+           .on_invalid =
+               [this](int status) { m_parts.metrics.RecordInvalid(status); }}) {
+  AddSampledMetrics();
+  m_admin_listener = std::make_unique<HttpListener>(
+      AdminOptions(m_config),
+      [this](const HttpRequest& request, const HttpResponder& responder) {
+        HandleAdmin(request, responder);
+      });
+  m_caller_listener = std::make_unique<HttpListener>(
+      CallerOptions(m_config),
+      [this](const HttpRequest& request, HttpResponder responder) {
+        HandleCaller(request, std::move(responder));
+      });
+  Log(LogLevel::kInfo, "started",
+      {{"instance", m_config.instance.value()},
+       {"data_centre", m_config.data_centre.value()},
+       {"incarnation", std::to_string(m_parts.incarnation.value())},
+       {"version", m_version},
+       {"caller_address", caller_address()},
+       {"admin_address", admin_address()}});
+}
+
+Daemon::~Daemon() = default;
+
+const std::string& Daemon::caller_address() const {
+  return m_caller_listener->address();
+}
+
+const std::string& Daemon::admin_address() const {
+  return m_admin_listener->address();
+}
+
+bool Daemon::ready() const {
+  return !m_shutdown.requested() && has_settings();
+}
+
+bool Daemon::has_settings() const {
+  return m_parts.settings.GreatestRevision().value() > 0;
+}
+
+bool Daemon::HandleCommon(const HttpRequest& request,
+                          const HttpResponder& responder) {
+  if (request.method != "GET")
+    return false;
+  if (request.path == "/healthz") {
+    responder(Plain(200, "ok\n"));
+  } else if (request.path == "/readyz") {
+    const bool is_ready = ready();
+    responder(is_ready ? Plain(200, "ready\n")
+                       : Plain(503, m_shutdown.requested() ? "draining\n"
+                                                           : "no settings\n"));
+  } else if (request.path == "/metrics") {
+    responder({.status = 200,
+               .body = m_parts.metrics.Serialise(),
+               .content_type = Metrics::kContentType});
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void Daemon::HandleCaller(const HttpRequest& request, HttpResponder responder) {
+  if (!HandleCommon(request, responder))
+    m_callers.Handle(request, std::move(responder));
+}
+
+void Daemon::HandleAdmin(const HttpRequest& request,
+                         const HttpResponder& responder) {
+  if (HandleCommon(request, responder))
+    return;
+  if (request.path != "/v1/status") {
+    responder(Plain(404, "not found\n"));
+    return;
+  }
+  if (request.method != "GET") {
+    responder(Plain(405, "GET only\n"));
+    return;
+  }
+  responder({.status = 200,
+             .body = EncodeStatus(m_parts, m_config,
+                                  {.version = m_version,
+                                   .ready = ready(),
+                                   .draining = m_shutdown.requested()})});
+}
+
+void Daemon::AddSampledMetrics() {
+  m_parts.metrics.AddSampled(
+      "wasabihook_requests_in_flight", "Requests that wait for their answer",
+      SampleKind::kGauge, [this] {
+        return std::vector<MetricSample>{
+            {{}, static_cast<double>(m_parts.tier->in_flight())}};
+      });
+  m_parts.metrics.AddSampled(
+      "wasabihook_settings_revision", "Revision in force by subtree",
+      SampleKind::kGauge, [this] {
+        std::vector<MetricSample> samples;
+        for (const SubtreeStatus& status : m_parts.settings.Status())
+          samples.push_back({{{"subtree", status.subtree}},
+                             static_cast<double>(status.in_force.value())});
+        return samples;
+      });
+  m_parts.metrics.AddSampled(
+      "wasabihook_ready", "1 if ready, else 0", SampleKind::kGauge, [this] {
+        return std::vector<MetricSample>{{{}, ready() ? 1.0 : 0.0}};
+      });
+}
+
+// Settings of the deployment win over the start file once they are known.
+Duration Daemon::DrainNotice() const {
+  const FleetSettingsPtr fleet = m_parts.settings.Fleet();
+  return fleet->revision.value() > 0 ? fleet->drain_notice
+                                     : m_config.drain_notice;
+}
+
+Duration Daemon::DrainLimit() const {
+  const FleetSettingsPtr fleet = m_parts.settings.Fleet();
+  return fleet->revision.value() > 0 ? fleet->drain_limit
+                                     : m_config.drain_limit;
+}
+
+void Daemon::RequestShutdown() {
+  m_shutdown.Request();
+}
+
+int Daemon::Wait() {
+  m_shutdown.WaitForRequest();
+  const Duration notice = DrainNotice();
+  const Duration limit = DrainLimit();
+  const TimePoint end = m_parts.timers.Now() + notice + limit;
+  Log(LogLevel::kInfo, "drain_started",
+      {{"notice_ms", notice.count() / 1000},
+       {"limit_ms", limit.count() / 1000},
+       {"in_flight", m_parts.tier->in_flight()}});
+  m_caller_listener->CloseAfterResponse();
+  m_shutdown.WaitUntil(notice, [] { return false; });
+  m_parts.tier->Drain([this] {
+    m_drained = true;
+    m_shutdown.Wake();
+  });
+  const bool drained = m_shutdown.WaitUntil(
+      end - m_parts.timers.Now(), [this] { return m_drained.load(); });
+  if (!drained)
+    LogCut();
+  const Duration left =
+      drained ? std::max(Duration(0), end - m_parts.timers.Now()) : Duration(0);
+  const size_t cut = m_caller_listener->Stop(left);
+  m_admin_listener->Stop(Duration(0));
+  Log(LogLevel::kInfo, "stopped", {{"drained", drained}, {"cut", cut}});
+  FlushLog();
+  return drained && cut == 0 ? kExitDrained : kExitCut;
+}
+
+void Daemon::LogCut() const {
+  const std::vector<RequestId> ids = m_callers.InFlight();
+  Log(LogLevel::kWarning, "drain_cut",
+      {{"reason", m_shutdown.forced() ? "second_signal" : "drain_limit"},
+       {"cut", ids.size()}});
+  for (size_t i = 0; i < std::min(ids.size(), kLoggedCutRequests); ++i)
+    Log(LogLevel::kWarning, "request_cut", ids[i]);
+}
+
+}  // namespace wasabihook
--- /dev/null
+++ b/src/runtime/status.cc
@@ -0,0 +1,71 @@
+#include "runtime/status.h"
+
+#include <chrono>
+
+#include <nlohmann/json.hpp>
+
+namespace wasabihook {
+namespace {
+
+using nlohmann::json;
+
+json SettingsJson(const DaemonParts& parts) {
+  json subtrees = json::array();
+  const WallTime now = parts.timers.WallNow();
+  for (const SubtreeStatus& status : parts.settings.Status()) {
+    json entry = {{"subtree", status.subtree},
+                  {"revision", status.in_force.value()},
+                  {"newest_revision", status.newest.value()},
+                  {"source", ToString(status.source)}};
+    if (status.in_force.value() != 0) {
+      entry["age_ms"] =
+          (now.since_unix_epoch - status.applied_at.since_unix_epoch).count();
+    }
+    if (status.rejected) {
+      entry["rejected"] = {{"revision", status.rejected->revision.value()},
+                           {"reason", status.rejected->reason},
+                           {"age_ms", (now.since_unix_epoch -
+                                       status.rejected->at.since_unix_epoch)
+                                          .count()}};
+    }
+    subtrees.push_back(std::move(entry));
+  }
+  return subtrees;
+}
+
+json ServersJson(const DaemonParts& parts) {
+  json servers = json::array();
+  for (const ServerStatus& status : parts.servers->Status()) {
+    servers.push_back({{"server", status.id.value()},
+                       {"outstanding", status.outstanding},
+                       {"latency_estimate_us", status.latency_estimate.count()},
+                       {"concurrency_limit", status.concurrency_limit},
+                       {"ejected", status.ejected},
+                       {"draining", status.draining},
+                       {"slow_start", status.slow_start}});
+  }
+  return servers;
+}
+
+}  // namespace
+
+std::string EncodeStatus(const DaemonParts& parts,
+                         const StartConfig& config,
+                         const DaemonState& state) {
+  const json status = {
+      {"instance", config.instance.value()},
+      // As text: the number exceeds what JSON readers keep exactly.
+      {"incarnation", std::to_string(parts.incarnation.value())},
+      {"data_centre", config.data_centre.value()},
+      {"version", state.version},
+      {"ready", state.ready},
+      {"draining", state.draining},
+      {"in_flight", parts.tier->in_flight()},
+      {"settings", SettingsJson(parts)},
+      {"settings_hash", std::to_string(parts.settings.Hash())},
+      {"greatest_revision", parts.settings.GreatestRevision().value()},
+      {"servers", ServersJson(parts)}};
+  return status.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace wasabihook
