--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -186,6 +186,12 @@
 // Bounds the memory of the aggregator when instances catch up after an outage.
 inline constexpr size_t kBurnBucketsPerResponse = 10;
 inline constexpr size_t kBurnPeerCallsInFlight = 16;
+// Largest value that the platform takes: 1 MB.
+inline constexpr size_t kMaxBurnValueBytes = 1'000'000;
+// A leaving instance writes its last counts itself; it competes with the
+// aggregator and with other leaving instances.
+inline constexpr int kBurnHandOverAttempts = 6;
+inline constexpr Duration kBurnHandOverBackoff = milliseconds(200);
 inline constexpr size_t kBurnCausesPerCell = 16;
 // Ages up to which counts are kept by the minute, by five minutes and by the
 // hour. Each exceeds the report windows that it serves by a margin.
@@ -214,12 +220,16 @@
 inline constexpr uint32_t kPeerThreads = 2;
 // Kept connections to peers, per thread.
 inline constexpr uint32_t kPeerConnectionsPerThread = 16;
+inline constexpr uint32_t kPeerListenerThreads = 1;
+inline constexpr uint32_t kMaxPeerConnections = 1024;
+inline constexpr Duration kPeerIdleTimeout = seconds(30);
 inline constexpr size_t kMaxQueuedPeerCalls = 256;
 inline constexpr size_t kMaxPeerMessageBytes = size_t{4} * 1024 * 1024;
 // A pull response stops after this many bytes of settings; the rest is pulled
 // with the next call.
 inline constexpr size_t kMaxPulledBytes = size_t{2} * 1024 * 1024;
 inline constexpr uint32_t kMaxPeerListLength = 10000;
+
 // --- Platform calls ---
 inline constexpr Duration kPlatformConnectTimeout = milliseconds(250);
 inline constexpr Duration kPlatformCallTimeout = milliseconds(2000);
