Report burn rates, alerts and causes as text, JSON and a page with plots

Stored burn counts could not be read by operators.

The report sums the counts of all data centres over 5 min, 1 h, 6 h and 3 d, raises page and ticket alerts when both of their windows burn, and names the top causes.

--- /dev/null
+++ b/examples/burn_report.cc
@@ -0,0 +1,90 @@
+// Writes a burn report made from synthetic counts: three days of two teams in
+// two data centres, with a slow server an hour before the end, two shard groups
+// lost for twenty minutes of the last day, and ten minutes without counts.
+//
+//   example_burn_report html > report.html
+
+#include <cmath>
+#include <iostream>
+#include <random>
+#include <string>
+
+#include "decision/burn/burn_cell.h"
+#include "decision/burn/report.h"
+
+namespace {
+
+using namespace wasabihook;  // NOLINT(google-build-using-namespace)
+
+constexpr int64_t kEndMinute = 29'680'000;
+constexpr int64_t kMinutes = 3 * 24 * 60;
+constexpr int kRequestsPerMinute = 60;
+
+RequestOutcome Draw(std::mt19937_64& random, int64_t age) {
+  RequestOutcome outcome;
+  std::lognormal_distribution<double> milliseconds(std::log(18.0), 0.45);
+  outcome.latency = Duration(static_cast<int64_t>(milliseconds(random) * 1000));
+  outcome.complete = true;
+  const bool straggling = age < 60 && random() % 4 == 0;
+  if (straggling) {
+    outcome.latency += std::chrono::milliseconds(120);
+  }
+  if (outcome.latency > config::kLatencyObjective) {
+    outcome.slowest_server = ServerId(
+        straggling ? "10.1.0.17:8080"
+                   : "10.1.0." + std::to_string(random() % 40) + ":8080");
+  }
+  if (age >= 200 && age < 220 && random() % 3 == 0) {
+    outcome.complete = false;
+    outcome.missing_groups = {ShardGroupId("g07"), ShardGroupId("g08")};
+  }
+  if (random() % 5000 == 0) {
+    outcome.complete = false;
+    outcome.error = ErrorCode::kOverloaded;
+  }
+  return outcome;
+}
+
+BurnBucket OneMinute(std::mt19937_64& random, int64_t minute) {
+  BurnBucket bucket;
+  bucket.minute = minute;
+  const int64_t age = kEndMinute - minute;
+  for (const char* team : {"clerks", "couriers"}) {
+    const int64_t fault_age = team == std::string("clerks") ? age : kMinutes;
+    TeamBurn burn{TeamId(team), {}, {}};
+    for (int i = 0; i < kRequestsPerMinute; ++i) {
+      AddOutcome(Draw(random, fault_age), config::kLatencyObjective, burn.cell);
+    }
+    bucket.teams.push_back(std::move(burn));
+  }
+  return bucket;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::string format = argc > 1 ? argv[1] : "text";
+  std::mt19937_64 random(20261204);
+  std::map<DataCentreId, BurnLedger> ledgers;
+  for (const char* name : {"addis-bole", "bahirdar-kebele"}) {
+    BurnLedger& ledger = ledgers[DataCentreId(name)];
+    const BurnSource source{InstanceId(name), Incarnation(1)};
+    uint64_t sequence = 0;
+    for (int64_t minute = kEndMinute - kMinutes; minute < kEndMinute;
+         ++minute) {
+      if (const int64_t age = kEndMinute - minute; age >= 120 && age < 130) {
+        continue;
+      }
+      BurnBucket bucket = OneMinute(random, minute);
+      bucket.sequence = ++sequence;
+      ledger.Fold(source, bucket, minute);
+    }
+    ledger.Compact(kEndMinute);
+  }
+  const WallTime now{std::chrono::minutes(kEndMinute + 2)};
+  const BurnReport report = MakeBurnReport(ledgers, now);
+  std::cout << (format == "html"   ? FormatReportHtml(report)
+                : format == "json" ? FormatReportJson(report)
+                                   : FormatReportText(report));
+  return 0;
+}
--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -201,6 +201,9 @@
 // Burn rates of the alerts. At 14.4, one hour uses up 20 % of a budget of 3 d.
 inline constexpr double kPageBurnRate = 14.4;
 inline constexpr double kTicketBurnRate = 1.0;
+inline constexpr size_t kReportCauses = 5;
+// Counts reach the platform within three minutes when all is well.
+inline constexpr Duration kReportStaleAge = minutes(10);
 
 // --- Settings spread and membership ---
 inline constexpr uint32_t kWatchersPerDataCentre = 2;
