--- /dev/null
+++ b/src/testing/load/counts_timeline.cc
@@ -0,0 +1,82 @@
+#include "testing/load/counts_timeline.h"
+
+#include <exception>
+#include <stdexcept>
+#include <utility>
+
+namespace wasabihook::load {
+namespace {
+
+constexpr std::chrono::milliseconds kPeriod(250);
+
+}  // namespace
+
+CountsTimeline::CountsTimeline(const BackendsControl* backends,
+                               std::chrono::steady_clock::time_point start)
+    : m_backends(backends), m_start(start) {
+  m_thread = std::thread([this] {
+    while (!m_stopping) {
+      try {
+        Read();
+      } catch (const std::exception&) {
+        // A missed reading leaves a gap; Finish() reports a lasting failure.
+      }
+      std::this_thread::sleep_for(kPeriod);
+    }
+  });
+}
+
+CountsTimeline::~CountsTimeline() {
+  m_stopping = true;
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+void CountsTimeline::Finish() {
+  m_stopping = true;
+  m_thread.join();
+  Read();
+}
+
+void CountsTimeline::Read() {
+  CountsByServer counts = m_backends->Counts();
+  const auto now = std::chrono::steady_clock::now();
+  m_readings.push_back(
+      {std::chrono::duration_cast<Duration>(now - m_start), std::move(counts)});
+}
+
+const CountsByServer& CountsTimeline::At(Duration at) const {
+  for (const Reading& reading : m_readings) {
+    if (reading.at >= at) {
+      return reading.counts;
+    }
+  }
+  return Last();
+}
+
+const CountsByServer& CountsTimeline::Last() const {
+  if (m_readings.empty()) {
+    throw std::runtime_error("no counters were read");
+  }
+  return m_readings.back().counts;
+}
+
+uint64_t Total(const CountsByServer& counts,
+               uint64_t ServerCounts::*counter,
+               const std::vector<std::string>& names) {
+  uint64_t total = 0;
+  if (names.empty()) {
+    for (const auto& [server, entry] : counts) {
+      total += entry.*counter;
+    }
+  }
+  for (const std::string& name : names) {
+    if (const auto found = counts.find(name); found != counts.end()) {
+      total += found->second.*counter;
+    }
+  }
+  return total;
+}
+
+}  // namespace wasabihook::load
--- /dev/null
+++ b/src/testing/load/counts_timeline.h
@@ -0,0 +1,55 @@
+#ifndef SRC_TESTING_LOAD_COUNTS_TIMELINE_H_
+#define SRC_TESTING_LOAD_COUNTS_TIMELINE_H_
+
+// PRIVATE HEADER. Counters of the fake servers over the time of a run.
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "testing/load/backends_control.h"
+#include "wasabihook/units.h"
+
+namespace wasabihook::load {
+
+// Reads the counters periodically on a thread of its own.
+class CountsTimeline {
+ public:
+  // `start` is the start of the measured part.
+  CountsTimeline(const BackendsControl* backends,
+                 std::chrono::steady_clock::time_point start);
+  ~CountsTimeline();
+  CountsTimeline(const CountsTimeline&) = delete;
+  CountsTimeline& operator=(const CountsTimeline&) = delete;
+
+  // Takes a last reading and stops.
+  void Finish();
+
+  // First reading at or after `at`, or the last one. Valid after Finish().
+  const CountsByServer& At(Duration at) const;
+  const CountsByServer& Last() const;
+
+ private:
+  struct Reading {
+    Duration at{0};
+    CountsByServer counts;
+  };
+  void Read();
+
+  const BackendsControl* const m_backends;
+  const std::chrono::steady_clock::time_point m_start;
+  std::vector<Reading> m_readings;
+  std::atomic<bool> m_stopping = false;
+  std::thread m_thread;
+};
+
+// Sum of one counter over the servers in `names`, or over all if it is empty.
+uint64_t Total(const CountsByServer& counts,
+               uint64_t ServerCounts::*counter,
+               const std::vector<std::string>& names = {});
+
+}  // namespace wasabihook::load
+
+#endif  // SRC_TESTING_LOAD_COUNTS_TIMELINE_H_
--- a/src/testing/load/load_types.h
+++ b/src/testing/load/load_types.h
@@ -31,6 +31,9 @@
   std::string payload;
   std::string record_key;
   std::string idempotency_key;
+  // Sent more than once with the same payload and key, so that a run on record
+  // may belong to another send.
+  bool repeated = false;
   Duration deadline{0};
   // Instance to send to; -1 leaves the choice to the balancer.
   int instance = -1;
--- /dev/null
+++ b/src/testing/load/machine_load.h
@@ -0,0 +1,29 @@
+#ifndef SRC_TESTING_LOAD_MACHINE_LOAD_H_
+#define SRC_TESTING_LOAD_MACHINE_LOAD_H_
+
+// PRIVATE HEADER. Processor time of the machine and of the run's processes.
+
+#include <cstdint>
+#include <vector>
+
+namespace wasabihook::load {
+
+// Counters in clock ticks.
+struct ProcessorTime {
+  uint64_t total = 0;  // Over all cores, idle time included.
+  uint64_t busy = 0;   // Of the whole machine.
+  uint64_t own = 0;    // Of the given processes.
+};
+
+// Reads /proc. Processes that have ended count as 0.
+ProcessorTime ReadProcessorTime(const std::vector<int>& processes);
+
+struct BusyShare {
+  double machine = 0;
+  double own = 0;
+};
+BusyShare BusyBetween(const ProcessorTime& before, const ProcessorTime& after);
+
+}  // namespace wasabihook::load
+
+#endif  // SRC_TESTING_LOAD_MACHINE_LOAD_H_
--- /dev/null
+++ b/src/testing/load/measures.cc
@@ -0,0 +1,131 @@
+#include "testing/load/measures.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <stdexcept>
+
+namespace wasabihook::load {
+namespace {
+
+double Ms(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+uint64_t CountBetween(const MeasureInput& input,
+                      uint64_t ServerCounts::*counter,
+                      const std::vector<std::string>& servers,
+                      Duration from,
+                      Duration to) {
+  return Total(input.counts->At(to), counter, servers) -
+         Total(input.counts->At(from), counter, servers);
+}
+
+// Share of their groups' requests that the cold servers got, as a multiple of
+// an equal share.
+double ColdShare(const MeasureInput& input, Duration from, Duration to) {
+  std::vector<std::string> peers;
+  for (const ControlledServer& server : input.servers) {
+    const bool peer =
+        std::any_of(input.servers.begin(), input.servers.end(),
+                    [&](const ControlledServer& other) {
+                      return other.index_set == server.index_set &&
+                             other.group == server.group &&
+                             std::find(input.cold.begin(), input.cold.end(),
+                                       other.server) != input.cold.end();
+                    });
+    if (peer) {
+      peers.push_back(server.server);
+    }
+  }
+  const auto own = static_cast<double>(
+      CountBetween(input, &ServerCounts::received, input.cold, from, to));
+  const auto all = static_cast<double>(
+      CountBetween(input, &ServerCounts::received, peers, from, to));
+  if (all == 0 || input.cold.empty()) {
+    return 0;
+  }
+  return own / all * static_cast<double>(peers.size()) /
+         static_cast<double>(input.cold.size());
+}
+
+// Servers of the most stricken group that never crashed.
+double LeastLive(const MeasureInput& input) {
+  std::map<std::string, double> live;
+  const CountsByServer& counts = input.counts->Last();
+  for (const ControlledServer& server : input.servers) {
+    if (server.index_set == input.index_set) {
+      const auto found = counts.find(server.server);
+      live[server.group] +=
+          found != counts.end() && found->second.crashes == 0 ? 1 : 0;
+    }
+  }
+  const auto least = std::min_element(
+      live.begin(), live.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return least == live.end() ? 0 : least->second;
+}
+
+using FigureMeasure = std::function<double(const Figures&)>;
+
+const std::map<std::string, FigureMeasure>& FigureMeasures() {
+  static const std::map<std::string, FigureMeasure> kMeasures = {
+      {"p50", [](const Figures& f) { return Ms(f.p50); }},
+      {"p99", [](const Figures& f) { return Ms(f.p99); }},
+      {"p999", [](const Figures& f) { return Ms(f.p999); }},
+      {"max", [](const Figures& f) { return Ms(f.max); }},
+      {"refusal_p99", [](const Figures& f) { return Ms(f.refusal_p99); }},
+      {"coverage", [](const Figures& f) { return f.coverage; }},
+      {"complete_share", [](const Figures& f) { return f.complete_share; }},
+      {"deadline_share", [](const Figures& f) { return f.deadline_share; }},
+      {"errors",
+       [](const Figures& f) { return static_cast<double>(f.errors); }},
+      {"refused_share",
+       [](const Figures& f) {
+         return f.requests == 0 ? 0
+                                : static_cast<double>(f.refused) /
+                                      static_cast<double>(f.requests);
+       }},
+  };
+  return kMeasures;
+}
+
+}  // namespace
+
+double Measure(const Bound& bound, const MeasureInput& input) {
+  const Duration from = bound.from.value_or(Duration(0));
+  const Duration to = bound.to.value_or(input.length);
+  const std::string& name = bound.measure;
+  const Figures figures = ComputeFigures(input.samples, from, to);
+  if (const auto found = FigureMeasures().find(name);
+      found != FigureMeasures().end()) {
+    return found->second(figures);
+  }
+  if (name == "goodput_share") {
+    return input.capacity > 0 ? figures.goodput / input.capacity : 0;
+  }
+  if (name == "extra_load") {
+    return input.extra_load;
+  }
+  if (name == "wrong") {
+    return 0;  // Counted by the oracle, after the run.
+  }
+  if (name == "received_by_drained") {
+    return static_cast<double>(
+        CountBetween(input, &ServerCounts::received, input.drained, from, to));
+  }
+  if (name == "crashes") {
+    return static_cast<double>(
+        CountBetween(input, &ServerCounts::crashes, {}, from, to));
+  }
+  if (name == "cold_share") {
+    return ColdShare(input, from, to);
+  }
+  if (name == "least_live") {
+    return LeastLive(input);
+  }
+  throw std::runtime_error("unknown measure " + name);
+}
+
+}  // namespace wasabihook::load
--- /dev/null
+++ b/src/testing/load/measures.h
@@ -0,0 +1,38 @@
+#ifndef SRC_TESTING_LOAD_MEASURES_H_
+#define SRC_TESTING_LOAD_MEASURES_H_
+
+// PRIVATE HEADER. The figures that bounds name.
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "testing/load/backends_control.h"
+#include "testing/load/counts_timeline.h"
+#include "testing/load/figures.h"
+#include "testing/load/scenario.h"
+
+namespace wasabihook::load {
+
+// Everything that a bound may refer to.
+struct MeasureInput {
+  std::vector<Sample> samples;  // Of measured streams.
+  Duration length{0};
+  const CountsTimeline* counts = nullptr;
+  std::vector<ControlledServer> servers;
+  std::vector<std::string> drained;
+  std::vector<std::string> cold;
+  std::string index_set;  // Of the first stream.
+  double capacity = 0;    // Searches a second of that index set.
+  double extra_load = 0;
+};
+
+// Names: p50, p99, p999, max, refusal_p99 (ms); coverage, complete_share,
+// refused_share, goodput_share, deadline_share, cold_share, extra_load; errors,
+// wrong, received_by_drained, crashes, least_live. Throws std::runtime_error
+// for other names.
+double Measure(const Bound& bound, const MeasureInput& input);
+
+}  // namespace wasabihook::load
+
+#endif  // SRC_TESTING_LOAD_MEASURES_H_
--- a/src/testing/load/oracle.cc
+++ b/src/testing/load/oracle.cc
@@ -10,7 +10,8 @@
 
 using Json = nlohmann::json;
 
-// Fetches are matched by their record key, all others by their unique payload.
+// Fetches are matched by their record key, operations by their idempotency key
+// and searches by their unique text.
 std::string KeyOf(const std::string& index_set,
                   RequestKind kind,
                   const std::string& payload) {
@@ -19,9 +20,15 @@
 }
 
 std::string KeyOf(const LoadRequest& request) {
-  return KeyOf(request.index_set, request.kind,
-               request.kind == RequestKind::kFetch ? request.record_key
-                                                   : request.payload);
+  switch (request.kind) {
+    case RequestKind::kSearch:
+      break;
+    case RequestKind::kFetch:
+      return KeyOf(request.index_set, request.kind, request.record_key);
+    case RequestKind::kOperation:
+      return KeyOf(request.index_set, request.kind, request.idempotency_key);
+  }
+  return KeyOf(request.index_set, request.kind, request.payload);
 }
 
 void Add(std::vector<Finding>* findings,
@@ -80,7 +87,9 @@
 Oracle::Oracle(Truth truth) : m_truth(std::move(truth)) {
   for (size_t i = 0; i < m_truth.runs.size(); ++i) {
     const RunRecord& run = m_truth.runs[i];
-    m_runs_by_request[KeyOf(run.index_set, run.kind, run.payload)].push_back(i);
+    const std::string& key =
+        run.kind == RequestKind::kOperation ? run.idempotency_key : run.payload;
+    m_runs_by_request[KeyOf(run.index_set, run.kind, key)].push_back(i);
   }
 }
 
@@ -102,7 +111,8 @@
     // Another fetch of the same key may have run, so only unique payloads
     // prove a false not_run.
     if (body.at("run_state").get<std::string>() == "not_run" &&
-        request.kind != RequestKind::kFetch && Ran(request)) {
+        request.kind != RequestKind::kFetch && !request.repeated &&
+        Ran(request)) {
       Add(findings, Wrong::kRanAfterAll, request, response.body);
     }
   } catch (const Json::exception& error) {
--- /dev/null
+++ b/src/testing/load/publisher.h
@@ -0,0 +1,49 @@
+#ifndef SRC_TESTING_LOAD_PUBLISHER_H_
+#define SRC_TESTING_LOAD_PUBLISHER_H_
+
+// PRIVATE HEADER. Writes the teams' settings into the platform, as their
+// automation does, and remembers every snapshot that was published.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "testing/load/backends_control.h"
+#include "testing/load/oracle.h"
+#include "wasabihook/platform.h"
+
+namespace wasabihook::load {
+
+class Publisher {
+ public:
+  // `settings` is the TOML text that is added to each team's subtree.
+  Publisher(KeyValueStore* store,
+            const BackendsControl* backends,
+            std::vector<std::string> teams,
+            std::string settings);
+
+  // Writes the subtree of each team for the present state of the fakes. Throws
+  // std::runtime_error if the platform refuses.
+  void Publish();
+
+  // Snapshots of every subtree written so far.
+  const std::map<std::string, std::map<SnapshotId, PublishedSnapshot>>&
+  published() const {
+    return m_published;
+  }
+
+ private:
+  void Write(const std::string& key, const std::string& text);
+  void Remember(const std::string& team, const std::string& text);
+
+  KeyValueStore* const m_store;
+  const BackendsControl* const m_backends;
+  const std::vector<std::string> m_teams;
+  const std::string m_settings;
+  std::map<std::string, std::map<SnapshotId, PublishedSnapshot>> m_published;
+};
+
+}  // namespace wasabihook::load
+
+#endif  // SRC_TESTING_LOAD_PUBLISHER_H_
--- a/src/testing/load/scenario.cc
+++ b/src/testing/load/scenario.cc
@@ -157,6 +157,7 @@
   Scenario scenario;
   scenario.name = reader.Required("name");
   scenario.title = reader.Required("title");
+  scenario.deployment = reader.Required("deployment");
   scenario.warm_up = reader.Millis("warm_up_ms", kWarmUpMs);
   scenario.length = reader.Millis("length_ms", kLengthMs);
   scenario.draw_two = reader.Get<bool>("draw_two", false);
--- a/src/testing/load/scenario.h
+++ b/src/testing/load/scenario.h
@@ -33,7 +33,8 @@
   Duration at{0};  // From the start of the measured part; may be negative.
   std::string action;
   std::string index_set;
-  // Servers it applies to, drawn by seed; 0 means all (of `data_centre`).
+  // Servers it applies to, drawn by seed, or sends of a request; 0 means all
+  // servers (of `data_centre`).
   uint32_t servers = 0;
   std::string data_centre;
   double share = 0;
@@ -57,6 +58,8 @@
 struct Scenario {
   std::string name;
   std::string title;
+  // Topology that it runs against, bench/topology/<deployment>.toml.
+  std::string deployment;
   Duration warm_up{0};
   Duration length{0};
   std::vector<LoadStream> loads;
--- /dev/null
+++ b/src/testing/load/scenario_run.cc
@@ -0,0 +1,256 @@
+#include "testing/load/scenario_run.h"
+
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "peers/platform/http_platform_client.h"
+#include "testing/load/backends_control.h"
+#include "testing/load/balancer.h"
+#include "testing/load/counts_timeline.h"
+#include "testing/load/fault_runner.h"
+#include "testing/load/http_call.h"
+#include "testing/load/load_generator.h"
+#include "testing/load/measures.h"
+#include "testing/load/publisher.h"
+#include "testing/load/request_plan.h"
+
+namespace wasabihook::load {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr Duration kReadyLimit = std::chrono::seconds(30);
+constexpr Duration kReadyPause = std::chrono::milliseconds(100);
+// Beyond its deadline a request is given up after this time, so that an answer
+// that is late by more than the bound shows as such.
+constexpr Duration kGrace = std::chrono::seconds(3);
+constexpr size_t kKeptFindings = 20;
+
+std::vector<std::string> TeamsOf(const Scenario& scenario) {
+  std::set<std::string> teams;
+  for (const LoadStream& load : scenario.loads) {
+    teams.insert(load.team);
+  }
+  return {teams.begin(), teams.end()};
+}
+
+std::string UtcNow() {
+  const std::time_t now = std::time(nullptr);
+  std::tm parts{};
+  gmtime_r(&now, &parts);
+  std::string text(32, '\0');
+  text.resize(
+      std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts));
+  return text;
+}
+
+// Waits until each instance answers a fetch of every index set under load,
+// which shows that the settings have reached it.
+void AwaitInstances(const RunOptions& options) {
+  for (const std::string& instance : options.instances) {
+    for (const LoadStream& load : options.scenario.loads) {
+      const nlohmann::json body = {{"team", load.team},
+                                   {"index_set", load.index_set},
+                                   {"record_key", load.index_set + "-0"}};
+      const auto limit = Clock::now() + kReadyLimit;
+      CallResult result;
+      while ((result = Call("POST", "http://" + instance + "/v1/fetch",
+                            body.dump(), std::chrono::seconds(2)))
+                 .status != 200) {
+        if (Clock::now() > limit) {
+          throw std::runtime_error("instance " + instance + " is not ready: " +
+                                   std::to_string(result.status) + " " +
+                                   result.body);
+        }
+        std::this_thread::sleep_for(kReadyPause);
+      }
+    }
+  }
+}
+
+platform::PlatformClientOptions StoreOptions(const std::string& address) {
+  platform::PlatformClientOptions options;
+  options.address = address;
+  return options;
+}
+
+// Backend requests that the least effort takes for the requests sent in the
+// measured part: one for each group asked, none for what was refused.
+double LeastNeeded(const RunOptions& options,
+                   const std::vector<LoadRequest>& requests,
+                   const std::vector<Sample>& samples) {
+  double needed = 0;
+  for (size_t i = 0; i < requests.size(); ++i) {
+    if (samples[i].at >= Duration(0) &&
+        samples[i].outcome != Outcome::kRefused && !requests[i].repeated) {
+      needed += requests[i].kind == RequestKind::kSearch
+                    ? options.sizes.at(requests[i].index_set).groups
+                    : 1;
+    }
+  }
+  return needed;
+}
+
+// One run in its parts; members live as long as the run.
+class Run {
+ public:
+  explicit Run(const RunOptions& options)
+      : m_options(options),
+        m_scenario(options.scenario),
+        m_store(StoreOptions(options.platform)),
+        m_backends(options.backends),
+        m_publisher(&m_store,
+                    &m_backends,
+                    TeamsOf(options.scenario),
+                    options.settings_text) {}
+
+  RunResult Execute() {
+    m_requests = PlanRequests(m_scenario, m_options.sizes,
+                              {.seed = m_options.seed,
+                               .service = m_options.service,
+                               .records_per_group = m_options.records_per_group,
+                               .instances = m_options.instances.size(),
+                               .crash_marker = m_options.crash_marker});
+    m_publisher.Publish();
+    AwaitInstances(m_options);
+    m_result.date = UtcNow();
+    Send();
+    Collect();
+    CheckAnswers();
+    return std::move(m_result);
+  }
+
+ private:
+  void Send() {
+    Balancer balancer(m_options.ready_checks);
+    const auto start = Clock::now() + std::chrono::milliseconds(500);
+    const auto measured = start + m_scenario.warm_up;
+    CountsTimeline counts(&m_backends, measured);
+    FaultRunner faults({.backends = &m_backends,
+                        .publisher = &m_publisher,
+                        .sizes = m_options.sizes,
+                        .seed = m_options.seed,
+                        .start = measured},
+                       m_scenario.faults);
+    const ProcessorTime before = ReadProcessorTime(m_options.processes);
+    m_responses = RunLoad({.instances = m_options.instances,
+                           .threads = m_options.threads,
+                           .grace = kGrace,
+                           .balance = [&] { return balancer.Next(); },
+                           .start = start},
+                          m_requests);
+    m_result.busy = BusyBetween(before, ReadProcessorTime(m_options.processes));
+    faults.Finish();
+    counts.Finish();
+    m_input.drained = faults.ServersOf("drain");
+    m_input.cold = faults.ServersOf("return_cold");
+    Compute(counts);
+  }
+
+  void Compute(const CountsTimeline& counts) {
+    for (size_t i = 0; i < m_requests.size(); ++i) {
+      m_samples.push_back(
+          ToSample(m_requests[i], m_responses[i], m_scenario.warm_up));
+      if (m_scenario.loads[m_requests[i].stream].measured &&
+          m_requests[i].instance < 0) {
+        m_input.samples.push_back(m_samples.back());
+      }
+    }
+    const LoadStream& first = m_scenario.loads.front();
+    m_input.index_set = first.index_set;
+    m_input.capacity =
+        m_options.sizes.at(first.index_set).Capacity(m_options.service);
+    m_input.length = m_scenario.length;
+    m_input.counts = &counts;
+    m_input.servers = m_backends.Servers();
+    const uint64_t received =
+        Total(counts.Last(), &ServerCounts::received) -
+        Total(counts.At(Duration(0)), &ServerCounts::received);
+    const double needed = LeastNeeded(m_options, m_requests, m_samples);
+    m_input.extra_load =
+        needed > 0 ? static_cast<double>(received) / needed : 0;
+    for (const Bound& bound : m_scenario.bounds) {
+      m_result.bounds.push_back({bound, Measure(bound, m_input)});
+    }
+  }
+
+  void Collect() {
+    m_result.scenario = m_scenario.name;
+    m_result.title = m_scenario.title;
+    m_result.settings = m_options.settings_name;
+    m_result.seed = m_options.seed;
+    m_result.figures =
+        ComputeFigures(m_input.samples, Duration(0), m_scenario.length);
+    m_result.extra_load = m_input.extra_load;
+    m_result.samples = m_input.samples;
+  }
+
+  void CheckAnswers() {
+    Truth truth;
+    truth.published = m_publisher.published();
+    truth.runs = m_backends.Runs();
+    truth.rows = m_options.rows;
+    truth.group_for = m_options.group_for;
+    m_result.runs_checked = truth.runs.size();
+    const Oracle oracle(std::move(truth));
+    std::vector<Finding> findings;
+    for (size_t i = 0; i < m_requests.size(); ++i) {
+      oracle.Check(m_requests[i], m_responses[i], &findings);
+    }
+    oracle.CheckRuns(&findings);
+    m_result.wrong = findings.size();
+    findings.resize(std::min(findings.size(), kKeptFindings));
+    m_result.findings = std::move(findings);
+    for (BoundValue& value : m_result.bounds) {
+      if (value.bound.measure == "wrong") {
+        value.value = static_cast<double>(m_result.wrong);
+      }
+    }
+  }
+
+  const RunOptions& m_options;
+  const Scenario& m_scenario;
+  platform::HttpPlatformClient m_store;
+  const BackendsControl m_backends;
+  Publisher m_publisher;
+  std::vector<LoadRequest> m_requests;
+  std::vector<Response> m_responses;
+  std::vector<Sample> m_samples;
+  MeasureInput m_input;
+  RunResult m_result;
+};
+
+}  // namespace
+
+RunResult RunScenario(const RunOptions& options) {
+  return Run(options).Execute();
+}
+
+Scenario WithDrawnFaults(Scenario scenario,
+                         const std::vector<Scenario>& others,
+                         uint64_t seed) {
+  std::vector<const Scenario*> with_faults;
+  for (const Scenario& other : others) {
+    if (!other.faults.empty() && !other.draw_two &&
+        other.deployment == scenario.deployment) {
+      with_faults.push_back(&other);
+    }
+  }
+  std::mt19937_64 random(seed);
+  std::shuffle(with_faults.begin(), with_faults.end(), random);
+  for (size_t i = 0; i < std::min<size_t>(2, with_faults.size()); ++i) {
+    const Scenario& drawn = *with_faults[i];
+    scenario.title += (i == 0 ? ": " : ", ") + drawn.name;
+    scenario.faults.insert(scenario.faults.end(), drawn.faults.begin(),
+                           drawn.faults.end());
+  }
+  return scenario;
+}
+
+}  // namespace wasabihook::load
