--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -26,6 +26,13 @@
 inline constexpr Duration kCallerIdleTimeout = seconds(30);
 inline constexpr Duration kCallerBodyTimeout = seconds(30);
 inline constexpr uint32_t kListenerThreads = 2;
+// Ids of callers: request id, idempotency key, team and index set.
+inline constexpr size_t kMaxIdBytes = 128;
+inline constexpr size_t kMaxRecordKeyBytes = 1024;
+inline constexpr int kMaxJsonDepth = 64;
+inline constexpr Duration kMaxCallerDeadline = hours(1);
+// Greatest Unix time in milliseconds that is accepted (year 9999).
+inline constexpr int64_t kMaxUnixMillis = 253'402'300'799'999;
 // Time a stopping listener gives a new connection to send its first request.
 inline constexpr Duration kStopLinger = milliseconds(200);
 
@@ -58,6 +65,20 @@
 // Tokens a new team starts with and that hedges leave for retries.
 inline constexpr double kRetryReserve = 5.0;
 
+// --- Query engine ---
+// Wait before another try when no server of a group can take work, if no
+// release of one comes first.
+inline constexpr Duration kCapacityRetryDelay = milliseconds(5);
+// Sub-requests that may wait for one server; more only poll.
+inline constexpr size_t kMaxCapacityWaiters = 1024;
+// How often and how long a query looks for a newer snapshot when no replica of
+// a group serves the pinned one.
+inline constexpr Duration kSnapshotPollDelay = milliseconds(5);
+inline constexpr Duration kSnapshotPollLimit = milliseconds(250);
+inline constexpr uint32_t kMaxSnapshotRestarts = 2;
+// An operation with less time left is not dispatched.
+inline constexpr Duration kMinOperationTime = milliseconds(5);
+
 // --- Limits ---
 inline constexpr uint32_t kFairShareWeight = 1;
 inline constexpr uint32_t kMaxQueuedPerTeam = 256;
@@ -163,6 +184,12 @@
 // Bounds the memory of the aggregator when instances catch up after an outage.
 inline constexpr size_t kBurnBucketsPerResponse = 10;
 inline constexpr size_t kBurnPeerCallsInFlight = 16;
+// Largest value that the platform takes: 1 MB.
+inline constexpr size_t kMaxBurnValueBytes = 1'000'000;
+// A leaving instance writes its last counts itself; it competes with the
+// aggregator and with other leaving instances.
+inline constexpr int kBurnHandOverAttempts = 6;
+inline constexpr Duration kBurnHandOverBackoff = milliseconds(200);
 inline constexpr size_t kBurnCausesPerCell = 16;
 // Ages up to which counts are kept by the minute, by five minutes and by the
 // hour. Each exceeds the report windows that it serves by a margin.
@@ -185,6 +212,22 @@
 inline constexpr uint32_t kRememberedChangeIds = 16;
 inline constexpr size_t kMaxSettingsBytes = 1024 * 1024;
 
+// --- Calls between instances ---
+inline constexpr Duration kPeerCallTimeout = milliseconds(1000);
+inline constexpr Duration kPeerConnectTimeout = milliseconds(250);
+inline constexpr uint32_t kPeerThreads = 2;
+// Kept connections to peers, per thread.
+inline constexpr uint32_t kPeerConnectionsPerThread = 16;
+inline constexpr uint32_t kPeerListenerThreads = 1;
+inline constexpr uint32_t kMaxPeerConnections = 1024;
+inline constexpr Duration kPeerIdleTimeout = seconds(30);
+inline constexpr size_t kMaxQueuedPeerCalls = 256;
+inline constexpr size_t kMaxPeerMessageBytes = size_t{4} * 1024 * 1024;
+// A pull response stops after this many bytes of settings; the rest is pulled
+// with the next call.
+inline constexpr size_t kMaxPulledBytes = size_t{2} * 1024 * 1024;
+inline constexpr uint32_t kMaxPeerListLength = 10000;
+
 // --- Platform calls ---
 inline constexpr Duration kPlatformConnectTimeout = milliseconds(250);
 inline constexpr Duration kPlatformCallTimeout = milliseconds(2000);
@@ -204,6 +247,7 @@
 
 // --- Threads and logs ---
 inline constexpr uint32_t kTimerThreads = 2;
+inline constexpr uint32_t kBackendThreads = 2;
 
 // --- Sharding of state ---
 inline constexpr size_t kStateShards = 16;
