--- a/programs/wasabihook-bench/main.cc
+++ b/programs/wasabihook-bench/main.cc
@@ -79,8 +79,8 @@
 }
 
 void AddCorpora(RunOptions* options) {
-  auto corpora =
-      std::make_shared<std::map<std::string, std::unique_ptr<testing::Corpus>>>();
+  auto corpora = std::make_shared<
+      std::map<std::string, std::unique_ptr<testing::Corpus>>>();
   for (const auto& [name, size] : options->sizes) {
     (*corpora)[name] = std::make_unique<testing::Corpus>(
         name, options->records_per_group * size.groups);
@@ -193,12 +193,11 @@
 int main(int argc, char** argv) {
   try {
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    wasabihook::load::Dispatch(
-        wasabihook::load::ParseBenchOptions(argc, argv));
+    wasabihook::load::Dispatch(wasabihook::load::ParseBenchOptions(argc, argv));
     return 0;
   } catch (const TCLAP::ArgException& error) {
-    std::cerr << "wasabihook-bench: " << error.error() << " "
-              << error.argId() << "\n";
+    std::cerr << "wasabihook-bench: " << error.error() << " " << error.argId()
+              << "\n";
   } catch (const std::exception& error) {
     std::cerr << "wasabihook-bench: " << error.what() << "\n";
   }
--- a/src/testing/load/report.cc
+++ b/src/testing/load/report.cc
@@ -55,9 +55,9 @@
 // from the whole run, so that a reference needs no bound of its own.
 std::optional<double> ReferenceValue(const Bound& bound,
                                      const RunResult& reference) {
-  const Figures figures = ComputeFigures(
-      reference.samples, bound.from.value_or(Duration(0)),
-      bound.to.value_or(Duration::max()));
+  const Figures figures =
+      ComputeFigures(reference.samples, bound.from.value_or(Duration(0)),
+                     bound.to.value_or(Duration::max()));
   const auto ms = [](Duration duration) {
     return std::chrono::duration<double, std::milli>(duration).count();
   };
@@ -147,11 +147,10 @@
     out << "| " << result.scenario << " | " << result.settings << " | "
         << figures.requests << " | " << Ms(figures.p50) << " | "
         << Ms(figures.p99) << " | " << Ms(figures.p999) << " | "
-        << Percent(figures.coverage) << " | "
-        << Percent(figures.complete_share) << " | "
-        << Number(result.extra_load, kLoadDigits) << " | " << figures.refused
-        << " | " << figures.errors << " | " << result.wrong << " | "
-        << Number(result.busy.machine * 100, 0) << " % ("
+        << Percent(figures.coverage) << " | " << Percent(figures.complete_share)
+        << " | " << Number(result.extra_load, kLoadDigits) << " | "
+        << figures.refused << " | " << figures.errors << " | " << result.wrong
+        << " | " << Number(result.busy.machine * 100, 0) << " % ("
         << Number(result.busy.own * 100, 0) << " %) | "
         << BoundsCell(result, results) << " |\n";
   }
