--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -33,6 +33,8 @@
 inline constexpr Duration kMaxCallerDeadline = hours(1);
 // Greatest Unix time in milliseconds that is accepted (year 9999).
 inline constexpr int64_t kMaxUnixMillis = 253'402'300'799'999;
+// When a request that came before the settings may be sent again.
+inline constexpr Duration kNoSettingsRetry = seconds(1);
 // Time a stopping listener gives a new connection to send its first request.
 inline constexpr Duration kStopLinger = milliseconds(200);
 
@@ -214,6 +216,9 @@
 // Burn rates of the alerts. At 14.4, one hour uses up 20 % of a budget of 3 d.
 inline constexpr double kPageBurnRate = 14.4;
 inline constexpr double kTicketBurnRate = 1.0;
+inline constexpr size_t kReportCauses = 5;
+// Counts reach the platform within three minutes when all is well.
+inline constexpr Duration kReportStaleAge = minutes(10);
 
 // --- Settings spread and membership ---
 inline constexpr uint32_t kWatchersPerDataCentre = 2;
