Add the crash quarantine

Evidence is kept per request body over distinct servers: one crash makes a body suspect, crashes of two servers quarantine it. A body that ran beside others is cleared by the answer of another server, a body that ran alone by two.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -171,6 +171,11 @@
 inline constexpr Duration kClaimRetention = hours(24);
 inline constexpr Duration kClockMargin = minutes(5);
 inline constexpr Duration kQuarantineExpiry = minutes(10);
+inline constexpr Duration kMaxQuarantineExpiry = hours(1);
+// Reports of one server within this time are one crash.
+inline constexpr Duration kCrashMergeWindow = seconds(1);
+// Bodies that evidence is kept of.
+inline constexpr size_t kMaxSuspectBodies = 16'384;
 // Delay before an unclear claim write is read back again.
 inline constexpr Duration kClaimRetryBaseDelay = milliseconds(5);
 inline constexpr Duration kClaimRetryMaxDelay = milliseconds(100);
--- /dev/null
+++ b/src/decision/operations/quarantine.cc
@@ -0,0 +1,225 @@
+#include "decision/operations/quarantine.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace wasabihook {
+namespace {
+
+// Distinct servers whose crashes prove that a body is harmful.
+constexpr size_t kConclusiveServers = 2;
+// Distinct servers whose answers outweigh a crash with the body alone in
+// flight.
+constexpr size_t kClearingServers = 2;
+constexpr size_t kMaxCrashesKept = 4;
+
+Duration BoundedExpiry(Duration expiry) {
+  return std::min(expiry, config::kMaxQuarantineExpiry);
+}
+
+}  // namespace
+
+CrashQuarantine::CrashQuarantine(const TimerService* timers)
+    : m_timers(timers) {}
+
+size_t CrashQuarantine::BodyKeyHash::operator()(
+    const BodyKey& key) const noexcept {
+  return std::hash<TeamId>{}(key.team) * 31 + key.fingerprint.value();
+}
+
+CrashQuarantine::Shard& CrashQuarantine::ShardOf(const BodyKey& key) const {
+  return m_shards[BodyKeyHash{}(key) % m_shards.size()];
+}
+
+Suspicion CrashQuarantine::Check(const TeamId& team, Fingerprint body) const {
+  const BodyKey key{team, body};
+  const TimePoint now = m_timers->Now();
+  const Shard& shard = ShardOf(key);
+  std::lock_guard lock(shard.mutex);
+  const auto it = shard.bodies.find(key);
+  if (it == shard.bodies.end() || it->second.expires <= now) {
+    return Suspicion::kNone;
+  }
+  if (it->second.quarantined) {
+    return Suspicion::kQuarantined;
+  }
+  return it->second.cleared ? Suspicion::kNone : Suspicion::kSuspect;
+}
+
+void CrashQuarantine::ReportCrash(const ServerId& server,
+                                  const std::vector<QuarantineEntry>& bodies) {
+  std::map<BodyKey, Duration> distinct;
+  for (const QuarantineEntry& body : bodies) {
+    distinct[{body.team, body.fingerprint}] =
+        body.expires_in > Duration(0) ? BoundedExpiry(body.expires_in)
+                                      : config::kQuarantineExpiry;
+  }
+  const Crash crash{
+      .server = server, .at = m_timers->Now(), .alone = distinct.size() == 1};
+  std::vector<QuarantineEntry> added;
+  for (const auto& [key, expiry] : distinct) {
+    if (AddCrash(key, crash, expiry)) {
+      added.push_back({key.team, key.fingerprint, expiry});
+    }
+  }
+  std::function<void(QuarantineEntry)> hook;
+  {
+    std::lock_guard lock(m_hook_mutex);
+    hook = m_on_added;
+  }
+  for (QuarantineEntry& entry : added) {
+    if (hook) {
+      hook(std::move(entry));
+    }
+  }
+}
+
+bool CrashQuarantine::AddCrash(const BodyKey& key,
+                               const Crash& crash,
+                               Duration expiry) {
+  Shard& shard = ShardOf(key);
+  std::lock_guard lock(shard.mutex);
+  Evidence& evidence = Find(shard, key, crash.at);
+  if (evidence.quarantined) {
+    return false;
+  }
+  CountCrash(evidence, crash);
+  evidence.expires = crash.at + expiry;
+  evidence.quarantined = IsConclusive(evidence, crash);
+  evidence.cleared = false;
+  evidence.successes.clear();
+  return evidence.quarantined;
+}
+
+void CrashQuarantine::CountCrash(Evidence& evidence, const Crash& crash) {
+  auto it = std::find_if(
+      evidence.crashes.begin(), evidence.crashes.end(),
+      [&](const Crash& other) { return other.server == crash.server; });
+  if (it == evidence.crashes.end()) {
+    evidence.crash_count++;
+    if (evidence.crashes.size() < kMaxCrashesKept) {
+      evidence.crashes.push_back(crash);
+    }
+    return;
+  }
+  // The connections of a server are lost one after another in one crash. The
+  // reports differ in what was left in flight, so the first one holds.
+  if (crash.at - it->at >= config::kCrashMergeWindow) {
+    evidence.crash_count++;
+    it->at = crash.at;
+    it->alone = it->alone || crash.alone;
+  }
+}
+
+bool CrashQuarantine::IsConclusive(const Evidence& evidence,
+                                   const Crash& latest) {
+  const bool was_alone =
+      std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
+                  [](const Crash& crash) { return crash.alone; });
+  if (evidence.cleared && !latest.alone) {
+    return false;
+  }
+  return evidence.crashes.size() >= kConclusiveServers ||
+         (was_alone && evidence.crash_count >= 2);
+}
+
+void CrashQuarantine::ReportSuccess(const TeamId& team,
+                                    Fingerprint body,
+                                    const ServerId& server) {
+  const BodyKey key{team, body};
+  Shard& shard = ShardOf(key);
+  std::lock_guard lock(shard.mutex);
+  const auto it = shard.bodies.find(key);
+  if (it == shard.bodies.end() || it->second.quarantined) {
+    return;
+  }
+  Evidence& evidence = it->second;
+  bool alone = false;
+  for (const Crash& crash : evidence.crashes) {
+    if (crash.server == server) {
+      return;
+    }
+    alone = alone || crash.alone;
+  }
+  if (!alone) {
+    shard.bodies.erase(it);
+    return;
+  }
+  if (evidence.successes.size() < kClearingServers) {
+    evidence.successes.insert(server);
+  }
+  evidence.cleared = evidence.successes.size() >= kClearingServers;
+}
+
+void CrashQuarantine::Merge(const QuarantineEntry& entry) {
+  // An entry that is about to expire would go around between instances.
+  if (entry.expires_in < 2 * config::kDigestPeriod) {
+    return;
+  }
+  const BodyKey key{entry.team, entry.fingerprint};
+  const TimePoint now = m_timers->Now();
+  Shard& shard = ShardOf(key);
+  std::lock_guard lock(shard.mutex);
+  Evidence& evidence = Find(shard, key, now);
+  // Time on the way would prolong an entry each time it returns.
+  if (!evidence.quarantined) {
+    evidence.quarantined = true;
+    evidence.expires = now + BoundedExpiry(entry.expires_in);
+  }
+}
+
+std::vector<QuarantineEntry> CrashQuarantine::Entries() const {
+  const TimePoint now = m_timers->Now();
+  std::vector<QuarantineEntry> entries;
+  for (const Shard& shard : m_shards) {
+    std::lock_guard lock(shard.mutex);
+    for (const auto& [key, evidence] : shard.bodies) {
+      if (evidence.quarantined && evidence.expires > now) {
+        entries.push_back({key.team, key.fingerprint, evidence.expires - now});
+      }
+    }
+  }
+  return entries;
+}
+
+void CrashQuarantine::SetOnAdded(std::function<void(QuarantineEntry)> hook) {
+  std::lock_guard lock(m_hook_mutex);
+  m_on_added = std::move(hook);
+}
+
+CrashQuarantine::Evidence& CrashQuarantine::Find(Shard& shard,
+                                                 const BodyKey& key,
+                                                 TimePoint now) {
+  auto it = shard.bodies.find(key);
+  if (it == shard.bodies.end()) {
+    MakeRoom(shard, now);
+    it = shard.bodies.try_emplace(key).first;
+  } else if (it->second.expires <= now) {
+    it->second = {};
+  }
+  return it->second;
+}
+
+// Drops expired evidence, or else the body that expires first, suspects before
+// quarantined ones.
+void CrashQuarantine::MakeRoom(Shard& shard, TimePoint now) {
+  constexpr size_t kMaxBodies =
+      config::kMaxSuspectBodies / config::kStateShards;
+  if (shard.bodies.size() < kMaxBodies) {
+    return;
+  }
+  if (std::erase_if(shard.bodies, [&](const auto& body) {
+        return body.second.expires <= now;
+      }) > 0) {
+    return;
+  }
+  shard.bodies.erase(std::min_element(
+      shard.bodies.begin(), shard.bodies.end(),
+      [](const auto& a, const auto& b) {
+        return std::pair(a.second.quarantined, a.second.expires) <
+               std::pair(b.second.quarantined, b.second.expires);
+      }));
+}
+
+}  // namespace wasabihook
