--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -187,6 +187,11 @@
 inline constexpr size_t kMaxUnfinishedClaims = 10'000;
 // Rows beyond this are not kept with a claim.
 inline constexpr size_t kMaxRecordedOutcomeBytes = size_t{16} * 1024;
+// Each instance looks through its share of the claims once in this time.
+inline constexpr Duration kClaimSweepPeriod = hours(1);
+inline constexpr Duration kClaimCleanerTick = seconds(1);
+// Calls of the cleaner of one instance in one tick.
+inline constexpr uint32_t kClaimCleanerCallsPerTick = 20;
 // Key ranges of a team's claims; the cleaner lists one range at a time.
 inline constexpr uint32_t kClaimBuckets = 4096;
 
