--- a/src/decision/operations/claim_cleaner.cc
+++ b/src/decision/operations/claim_cleaner.cc
@@ -101,6 +101,7 @@
                            self->AddStale(result.entries, bucket.retention);
                          } else {
                            self->PauseUntilNextTick();
+                           self->Requeue(bucket);
                          }
                          self->Continue();
                        });
