--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -64,6 +64,10 @@
 inline constexpr Duration kCapacityRetryDelay = milliseconds(5);
 // Sub-requests that may wait for one server; more only poll.
 inline constexpr size_t kMaxCapacityWaiters = 1024;
+// How long a sub-query without a retry token waits for one. Tokens come with
+// new requests only, so sub-queries that waited until their deadline would hold
+// the places in admission that new requests need.
+inline constexpr Duration kRetryTokenWait = milliseconds(100);
 // How often and how long a query looks for a newer snapshot when no replica of
 // a group serves the pinned one.
 inline constexpr Duration kSnapshotPollDelay = milliseconds(5);
--- a/src/decision/query/query.cc
+++ b/src/decision/query/query.cc
@@ -176,7 +176,9 @@
     --part.attempts;
   } else {
     part.tried.push_back(attempt.server);
-    part.charge_next = true;
+    // Neither costs the server anything: it refuses all new work, or got none.
+    part.charge_next = reply.outcome != SubOutcome::kDraining &&
+                       reply.outcome != SubOutcome::kNoConnection;
   }
   if (part.outstanding.empty()) {
     ScheduleRetry(index, reply, now, actions);
--- a/src/decision/query/query.h
+++ b/src/decision/query/query.h
@@ -62,6 +62,7 @@
                    Actions& actions);
   void Hedge(size_t index, TimePoint now, Actions& actions);
   void ScheduleHedge(size_t index, TimePoint now);
+  void WaitForToken(size_t index, TimePoint now, Actions& actions);
   void WaitForCapacity(size_t index, TimePoint now);
   void StopWaiting(QueryPart& part);
   void WakePart(size_t index, TimePoint now, Actions& actions);
--- a/src/decision/query/query_attempts.cc
+++ b/src/decision/query/query_attempts.cc
@@ -29,8 +29,7 @@
   RetryBudget& budget = *m_context->deps.retry_budget;
   const TeamId& team = m_input.request.team;
   if (part.charge_next && !budget.TrySpend(team)) {
-    part.state = PartState::kBackingOff;
-    SetWake(index, now + config::kRetryMaxDelay);
+    WaitForToken(index, now, actions);
     return;
   }
   const bool first = part.attempts == 0 && !part.charge_next;
@@ -63,6 +62,7 @@
   ++part.attempts;
   part.state = PartState::kAsking;
   part.wake_at.reset();
+  part.token_wait_end.reset();
   ScheduleHedge(index, now);
   return true;
 }
@@ -101,6 +101,19 @@
   }
 }
 
+void Query::WaitForToken(size_t index, TimePoint now, Actions& actions) {
+  QueryPart& part = m_parts[index];
+  if (!part.token_wait_end) {
+    part.token_wait_end = now + config::kRetryTokenWait;
+  }
+  if (now >= *part.token_wait_end) {
+    FailPart(index, now, actions);
+    return;
+  }
+  part.state = PartState::kBackingOff;
+  SetWake(index, std::min(now + config::kRetryMaxDelay, *part.token_wait_end));
+}
+
 void Query::WaitForCapacity(size_t index, TimePoint now) {
   QueryPart& part = m_parts[index];
   m_saw_overload = true;
--- a/src/decision/query/query_part.h
+++ b/src/decision/query/query_part.h
@@ -36,6 +36,8 @@
   uint32_t attempts = 0;
   // The next attempt is paid from the retry budget.
   bool charge_next = false;
+  // End of the wait for a retry token.
+  std::optional<TimePoint> token_wait_end;
   // A server refused for overload, or none could take the work.
   bool overloaded = false;
   // Replicas that failed, asked again only if no other is left.
