--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -110,6 +110,8 @@
 inline constexpr Duration kMinLatencyEstimate = std::chrono::microseconds(100);
 // Weight of load that a server reports against load that this instance knows.
 inline constexpr double kLoadHintWeight = 0.3;
+// Below 1, so that no report outweighs a sub-request of this instance.
+inline constexpr double kMaxHintedLoad = 0.9;
 // Time in which the weight of a reported load halves.
 inline constexpr Duration kLoadHintHalfLife = milliseconds(50);
 // Servers that no snapshot has listed for this time are forgotten.
--- a/src/decision/routing/latency_estimate.cc
+++ b/src/decision/routing/latency_estimate.cc
@@ -19,7 +19,10 @@
   if (m_replies == 0 && m_micros == 0) {
     m_micros = micros;
   } else {
-    m_micros += (micros - m_micros) * (micros > m_micros ? kRise : kFall);
+    // What has faded stays so: a server that was left alone because it was
+    // slow shows by its first replies whether it still is.
+    const auto faded = static_cast<double>(At(now).count());
+    m_micros = faded + (micros - faded) * (micros > faded ? kRise : kFall);
   }
   m_updated = now;
   ++m_replies;
--- a/src/decision/routing/replica_choice.cc
+++ b/src/decision/routing/replica_choice.cc
@@ -74,7 +74,9 @@
   if (latency == Duration(0)) {
     latency = std::max(other.latency, Duration(1));
   }
-  return (view.outstanding + 1 + view.hinted_load) *
+  // Failures weigh in, because a server that fails quickly has little
+  // outstanding and would attract work.
+  return (view.outstanding + 1 + view.hinted_load) * (1 + view.failures) *
          static_cast<double>(latency.count());
 }
 
--- a/src/decision/routing/replica_choice.h
+++ b/src/decision/routing/replica_choice.h
@@ -22,6 +22,8 @@
   uint32_t replies = 0;
   // Work of other instances on the server, weighted down by age.
   double hinted_load = 0;
+  // Consecutive failures.
+  uint32_t failures = 0;
   // Share of its usual load that the server may get; below 1 in slow start.
   double share = 1;
   bool excluded = false;
--- a/src/decision/routing/server_state.cc
+++ b/src/decision/routing/server_state.cc
@@ -28,6 +28,7 @@
   view.latency = m_latency.At(now);
   view.replies = m_latency.replies();
   view.hinted_load = HintedLoad(now);
+  view.failures = m_ejection.consecutive_failures();
   view.share = Share(now);
   view.draining = m_drain.IsDraining(now);
   view.drain_hinted = m_drain.IsHinted(now);
@@ -60,9 +61,9 @@
   }
   const double halvings =
       Ratio(now - m_load_reported, config::kLoadHintHalfLife);
-  return halvings > 8
-             ? 0
-             : m_foreign_load * config::kLoadHintWeight * std::exp2(-halvings);
+  const double load = std::min(m_foreign_load * config::kLoadHintWeight,
+                               config::kMaxHintedLoad);
+  return halvings > 8 ? 0 : load * std::exp2(-halvings);
 }
 
 bool ServerState::TryTake(const RoutingPolicy& policy, TimePoint now) {
