--- /dev/null
+++ b/bench/decision_benchmark.cc
@@ -0,0 +1,148 @@
+// Cost of routing decisions on one thread: one replica choice, the choices of a
+// whole plan, and growth with the number of known servers.
+
+#include <benchmark/benchmark.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "decision/routing/admission_controller.h"
+#include "decision/routing/hedge_policy.h"
+#include "decision/routing/rendezvous.h"
+#include "decision/routing/retry_budget.h"
+#include "testing/manual_timer_service.h"
+#include "wasabihook/server_table.h"
+
+namespace wasabihook {
+namespace {
+
+std::vector<ShardGroup> MakeGroups(size_t groups, size_t replicas) {
+  std::vector<ShardGroup> result(groups);
+  for (size_t g = 0; g < groups; ++g) {
+    result[g].id = ShardGroupId(std::to_string(g));
+    for (size_t r = 0; r < replicas; ++r) {
+      result[g].servers.push_back(
+          {ServerId("10." + std::to_string(r) + "." + std::to_string(g / 250) +
+                    "." + std::to_string(g % 250) + ":7000"),
+           DataCentreId("bay-a")});
+    }
+  }
+  return result;
+}
+
+class Table {
+ public:
+  explicit Table(size_t known_groups, size_t replicas = 2)
+      : m_groups(MakeGroups(known_groups, replicas)) {
+    m_reply.outcome = SubOutcome::kOk;
+    for (int round = 0; round < 20; ++round) {
+      RunPlan(m_groups.size());
+      m_timers.Advance(std::chrono::seconds(1));
+    }
+    RunPlan(m_groups.size());
+  }
+
+  // Takes one server for each of the first `groups` groups and releases it.
+  void RunPlan(size_t groups) {
+    m_taken.clear();
+    for (size_t g = 0; g < groups; ++g) {
+      m_taken.push_back(m_table->Acquire(m_groups[g], m_shape, m_policy, {}));
+    }
+    m_timers.Advance(std::chrono::milliseconds(5));
+    for (const std::optional<ServerId>& server : m_taken) {
+      m_table->Release(*server, m_reply, std::chrono::milliseconds(5));
+    }
+  }
+
+  testing::ManualTimerService m_timers;
+  std::unique_ptr<ServerTable> m_table =
+      ServerTable::Create(&m_timers, MakeRandomSource(1));
+  std::vector<ShardGroup> m_groups;
+  std::vector<std::optional<ServerId>> m_taken;
+  ServerShape m_shape;
+  RoutingPolicy m_policy;
+  SubReply m_reply;
+};
+
+// One Acquire() and Release() in a group of range(0) replicas.
+void BM_ReplicaChoice(benchmark::State& state) {
+  Table table(1, static_cast<size_t>(state.range(0)));
+  for (auto _ : state) {
+    auto server = table.m_table->Acquire(table.m_groups[0], table.m_shape,
+                                         table.m_policy, {});
+    table.m_table->Release(*server, table.m_reply,
+                           std::chrono::milliseconds(5));
+  }
+}
+BENCHMARK(BM_ReplicaChoice)->Arg(2)->Arg(3)->Arg(5);
+
+// Acquire() and Release() for a plan of range(0) groups, with range(1) groups
+// of two servers known to the table.
+void BM_Plan(benchmark::State& state) {
+  Table table(static_cast<size_t>(state.range(1)));
+  for (auto _ : state) {
+    table.RunPlan(static_cast<size_t>(state.range(0)));
+  }
+  state.SetItemsProcessed(state.iterations() * state.range(0));
+}
+BENCHMARK(BM_Plan)
+    ->Args({20, 20})
+    ->Args({470, 470})
+    ->Args({470, 2000})
+    ->Args({470, 10000});
+
+void BM_HedgeObserveAndDelay(benchmark::State& state) {
+  auto policy = HedgePolicy::Create();
+  const GroupKey key{TeamId("clerks"), IndexSetId("lab-ledger"),
+                     ShardGroupId("17")};
+  int64_t latency = 5000;
+  for (auto _ : state) {
+    policy->Observe(key, Duration(latency));
+    benchmark::DoNotOptimize(policy->DelayFor(key, false));
+    latency = 5000 + (latency * 31) % 7000;
+  }
+}
+BENCHMARK(BM_HedgeObserveAndDelay);
+
+void BM_RetryBudget(benchmark::State& state) {
+  auto budget = RetryBudget::Create();
+  const TeamId team("clerks");
+  for (auto _ : state) {
+    budget->OnFirstAttempt(team, Fraction{0.05});
+    benchmark::DoNotOptimize(budget->TrySpendForHedge(team));
+  }
+}
+BENCHMARK(BM_RetryBudget);
+
+void BM_AdmitAndRelease(benchmark::State& state) {
+  testing::ManualTimerService timers;
+  auto controller = AdmissionController::Create(&timers);
+  const TeamId team("clerks");
+  const IndexSetId pool("lab-ledger");
+  for (auto _ : state) {
+    controller->Request(
+        {team, pool, 1, 10, timers.Now() + std::chrono::seconds(1)},
+        [](AdmissionResult) {});
+    controller->Release(team, pool, std::chrono::milliseconds(20), false);
+  }
+}
+BENCHMARK(BM_AdmitAndRelease);
+
+// Two winners of range(0) candidates.
+void BM_Rendezvous(benchmark::State& state) {
+  std::vector<std::string> names;
+  for (int64_t i = 0; i < state.range(0); ++i) {
+    names.push_back("instance-" + std::to_string(i));
+  }
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(RendezvousTopK("10.0.0.1:7000", names, 2));
+  }
+}
+BENCHMARK(BM_Rendezvous)->Arg(8)->Arg(450);
+
+}  // namespace
+}  // namespace wasabihook
+
+BENCHMARK_MAIN();
