Keep baselines clear of variance and restart limits of returned servers

A baseline near the shortest replies made the variance of a healthy server look like queueing, so that its limit shrank to one. Baselines now stay near the lower middle of the latencies. A server that comes back starts from this instance's share of its slots instead of a scaled limit. The lock over ejections is taken only if the group can spare a server.

--- a/src/decision/routing/concurrency_limit.cc
+++ b/src/decision/routing/concurrency_limit.cc
@@ -9,8 +9,10 @@
 namespace {
 
 constexpr double kRecentStep = 0.2;
-constexpr double kBaselineFall = 0.2;
-constexpr double kBaselineRise = 0.005;
+// A baseline close to the shortest replies would make ordinary variance look
+// like queueing; these steps keep it near the lower end of the middle.
+constexpr double kBaselineFall = 0.04;
+constexpr double kBaselineRise = 0.01;
 
 }  // namespace
 
@@ -26,10 +28,14 @@
   const uint32_t slots = std::max<uint32_t>(shape.slots, 1);
   m_max = std::min(slots + config::kServerQueue,
                    ConnectionQuota(shape.max_connections, live_instances));
-  if (!m_learned) {
-    m_limit = std::max(slots / std::max(live_instances, 1U), 1U);
-  }
-  m_limit = std::clamp(m_limit, 1.0, m_max);
+  m_initial = std::max(slots / std::max(live_instances, 1U), 1U);
+  m_limit = std::clamp(m_learned ? m_limit : m_initial, 1.0, m_max);
+}
+
+void ConcurrencyLimit::Restart() {
+  m_learned = false;
+  m_limit = std::min(m_initial, m_max);
+  m_baseline = 0;
 }
 
 void ConcurrencyLimit::OnSuccess(Duration latency,
--- a/src/decision/routing/concurrency_limit.h
+++ b/src/decision/routing/concurrency_limit.h
@@ -18,6 +18,9 @@
   // Adopts the server's limits and the number of live instances. Until the
   // first observation the limit is this instance's share of the slots.
   void Configure(const ServerShape& shape, uint32_t live_instances);
+  // Returns to this instance's share of the slots, for a server that comes
+  // back.
+  void Restart();
   // `outstanding` counts the finished sub-request too.
   void OnSuccess(Duration latency, uint32_t outstanding, TimePoint now);
   void OnRefused(TimePoint now);
@@ -28,6 +31,7 @@
 
   ServerShape m_shape{.slots = 0, .max_connections = 0};
   uint32_t m_live_instances = 0;
+  double m_initial = 1;
   double m_max = 1;
   bool m_learned = false;
   double m_limit = 1;
--- a/src/decision/routing/server_state.cc
+++ b/src/decision/routing/server_state.cc
@@ -20,11 +20,11 @@
   m_last_seen = now;
   m_limit.Configure(shape, live_instances);
   if (m_drain.TakeReturned(now)) {
-    m_slow_start = now;
+    StartSlowly(now);
   }
   ReplicaView view;
   view.outstanding = m_outstanding;
-  view.limit = Limit(now);
+  view.limit = m_limit.value();
   view.latency = m_latency.At(now);
   view.replies = m_latency.replies();
   view.hinted_load = HintedLoad(now);
@@ -49,10 +49,10 @@
   return first + (1 - first) * Ratio(age, config::kSlowStart);
 }
 
-uint32_t ServerState::Limit(TimePoint now) const {
-  const double share = Share(now);
-  return std::max<uint32_t>(
-      static_cast<uint32_t>(std::ceil(m_limit.value() * share)), 1);
+void ServerState::StartSlowly(TimePoint now) {
+  m_slow_start = now;
+  m_latency.Reset();
+  m_limit.Restart();
 }
 
 double ServerState::HintedLoad(TimePoint now) const {
@@ -75,7 +75,7 @@
     if (!probe) {
       return false;
     }
-  } else if (policy.concurrency_limits && m_outstanding >= Limit(now)) {
+  } else if (policy.concurrency_limits && m_outstanding >= m_limit.value()) {
     return false;
   }
   if (probe) {
@@ -97,8 +97,7 @@
   const Ejection::Change change =
       m_ejection.OnOutcome(reply.outcome, sent, now, jitter);
   if (change == Ejection::Change::kRecovered) {
-    m_latency.Reset();
-    m_slow_start = now;
+    StartSlowly(now);
   }
   LearnLatency(reply.outcome, latency, now);
   LearnLoad(reply, now);
@@ -158,7 +157,7 @@
   status.id = id;
   status.outstanding = m_outstanding;
   status.latency_estimate = m_latency.At(now);
-  status.concurrency_limit = Limit(now);
+  status.concurrency_limit = m_limit.value();
   status.ejected = m_ejection.ejected();
   status.draining = m_drain.IsDraining(now);
   status.slow_start = Share(now) < 1;
--- a/src/decision/routing/server_state.h
+++ b/src/decision/routing/server_state.h
@@ -45,7 +45,8 @@
  private:
   double Share(TimePoint now) const;
   double HintedLoad(TimePoint now) const;
-  uint32_t Limit(TimePoint now) const;
+  // Forgets what was learned of a server that was gone for a while.
+  void StartSlowly(TimePoint now);
   void LearnLoad(const SubReply& reply, TimePoint now);
   void LearnLatency(SubOutcome outcome, Duration latency, TimePoint now);
 
--- a/src/decision/routing/server_table.cc
+++ b/src/decision/routing/server_table.cc
@@ -96,7 +96,7 @@
       const std::vector<ServerId>& excluded) override {
     const TimePoint now = m_timers->Now();
     std::vector<ReplicaView> views = Views(group, shape, now);
-    if (policy.outlier_ejection && !FindOutliers(views).empty()) {
+    if (policy.outlier_ejection && HasEjectable(views)) {
       views = EjectOutliers(group, shape, now);
     }
     for (ReplicaView& view : views) {
@@ -197,6 +197,14 @@
     return views;
   }
 
+  // Keeps the lock over ejections out of the way while outliers have to stay.
+  static bool HasEjectable(const std::vector<ReplicaView>& views) {
+    const std::vector<size_t> outliers = FindOutliers(views);
+    return std::any_of(
+        outliers.begin(), outliers.end(),
+        [&views](size_t position) { return CanEject(views, position); });
+  }
+
   static bool CanEject(const std::vector<ReplicaView>& views,
                        size_t candidate) {
     size_t ejected = 0;
--- a/src/decision/routing/service_time.cc
+++ b/src/decision/routing/service_time.cc
@@ -8,7 +8,9 @@
 // Shares by which one latency moves an average.
 constexpr double kFast = 0.2;
 constexpr double kSlow = 0.02;
-constexpr double kVerySlow = 0.002;
+constexpr double kBaselineRise = 0.005;
+constexpr double kBaselineFall = 0.02;
+constexpr double kRecent = 0.1;
 constexpr double kRelaxFactor = 0.9;
 
 void Follow(double* average, double value, double up, double down) {
@@ -24,8 +26,8 @@
 void ServiceTime::Observe(Duration latency) {
   const auto micros = static_cast<double>(latency.count());
   Follow(&m_low, micros, kSlow, kFast);
-  Follow(&m_recent, micros, kFast, kFast);
-  Follow(&m_baseline, micros, kVerySlow, kSlow);
+  Follow(&m_recent, micros, kRecent, kRecent);
+  Follow(&m_baseline, micros, kBaselineRise, kBaselineFall);
 }
 
 bool ServiceTime::IsInflated() const {
