Report callers that close their connection

A caller that goes away while its request waits was not noticed, because a suspended connection is not polled. Its socket is now watched for a half-close, and the request is cancelled in the tier.

--- a/src/peers/caller/caller_service.cc
+++ b/src/peers/caller/caller_service.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -62,7 +63,7 @@
     try {
       CallerRequest decoded = DecodeRequest(request, id);
       if (m_options.has_settings())
-        Submit(std::move(decoded), std::move(responder));
+        Submit(std::move(decoded), request, std::move(responder));
       else
         responder(EncodeError(NoSettings(id)));
     } catch (const InvalidRequest& error) {
@@ -89,7 +90,9 @@
     return RequestId(text);
   }
 
-  void Submit(CallerRequest request, HttpResponder responder) {
+  void Submit(CallerRequest request,
+              const HttpRequest& http,
+              HttpResponder responder) {
     uint64_t number = 0;
     {
       std::lock_guard lock(m_mutex);
@@ -102,7 +105,7 @@
     summary.team = request.team;
     summary.kind = request.kind;
     const TimePoint start = m_options.timers->Now();
-    m_options.tier->Submit(
+    const QueryHandle handle = m_options.tier->Submit(
         std::move(request),
         [self = shared_from_this(), number, start, summary = std::move(summary),
          responder = std::move(responder)](const Reply& reply) {
@@ -110,6 +113,28 @@
           LogReply(reply, summary, self->m_options.timers->Now() - start);
           responder(EncodeReply(reply));
         });
+    if (http.on_closed)
+      http.on_closed([weak = weak_from_this(), number, handle] {
+        if (const auto self = weak.lock())
+          self->Abandon(number, handle);
+      });
+  }
+
+  // The caller went away.
+  void Abandon(uint64_t number, QueryHandle handle) {
+    std::optional<RequestId> id;
+    {
+      std::lock_guard lock(m_mutex);
+      if (const auto found = m_in_flight.find(number);
+          found != m_in_flight.end()) {
+        id = found->second;
+        m_in_flight.erase(found);
+      }
+    }
+    if (!id)
+      return;
+    Log(LogLevel::kInfo, "request_abandoned", *id);
+    m_options.tier->Cancel(handle);
   }
 
   void Finish(uint64_t number) {
--- a/src/runtime/http_listener.cc
+++ b/src/runtime/http_listener.cc
@@ -1,7 +1,6 @@
 #include "runtime/http_listener.h"
 
 #include <microhttpd.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,6 +12,7 @@
 #include <set>
 #include <stdexcept>
 
+#include "runtime/close_watcher.h"
 #include "runtime/socket_address.h"
 
 namespace wasabihook {
@@ -29,19 +29,6 @@
 // connection before the caller reads it.
 constexpr uint64_t kDiscardFactor = 8;
 
-std::optional<std::string> Find(const HttpHeaders& entries,
-                                std::string_view name,
-                                bool ignore_case) {
-  for (const auto& [key, value] : entries) {
-    if (key.size() != name.size())
-      continue;
-    if (ignore_case ? strncasecmp(key.data(), name.data(), name.size()) == 0
-                    : key == name)
-      return value;
-  }
-  return std::nullopt;
-}
-
 MHD_Result CollectValue(void* into,
                         MHD_ValueKind /*kind*/,
                         const char* key,
@@ -77,15 +64,6 @@
 
 }  // namespace
 
-std::optional<std::string> HttpRequest::Header(std::string_view name) const {
-  return Find(headers, name, true);
-}
-
-std::optional<std::string> HttpRequest::QueryArgument(
-    std::string_view name) const {
-  return Find(query, name, false);
-}
-
 class HttpListener::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(HttpListenerOptions options, HttpHandler handler)
@@ -111,6 +89,7 @@
     std::mutex mutex;
     bool dispatched = false;  // Used by the connection's thread only.
     bool answered = false;
+    std::optional<uint64_t> close_watch;
     HttpResponse response;
   };
   using ExchangePtr = std::shared_ptr<Exchange>;
@@ -150,6 +129,7 @@
   void Dispatch(const ExchangePtr& exchange);
   MHD_Result SendAnswer(Exchange& exchange);
   void Answer(const ExchangePtr& exchange, HttpResponse response);
+  void WatchClosed(const ExchangePtr& exchange, std::function<void()> hook);
   void TakeBacklog(int listen_socket);
   size_t AbortWaiting();
 
@@ -157,6 +137,7 @@
   HttpHandler m_handler;
   std::string m_address;
   std::atomic<bool> m_close_after_response{false};
+  CloseWatcher m_close_watcher;
 
   mutable std::mutex m_mutex;
   std::condition_variable m_changed;
@@ -273,6 +254,12 @@
     state->impl->Answer(state->exchange, std::move(response));
   };
   state.reset();
+  exchange->request.on_closed = [weak = std::weak_ptr(exchange),
+                                 self = weak_from_this()](auto hook) {
+    if (const auto impl = self.lock())
+      if (const auto live = weak.lock())
+        impl->WatchClosed(live, std::move(hook));
+  };
   try {
     m_handler(std::move(exchange->request), responder);
   } catch (const std::exception&) {
@@ -307,6 +294,9 @@
       return;
     exchange->answered = true;
     exchange->response = std::move(response);
+    // Before the connection is resumed: its socket may close after that.
+    if (exchange->close_watch)
+      m_close_watcher.Unwatch(*exchange->close_watch);
   }
   // The connection stays valid: suspended until this only call that resumes it.
   MHD_resume_connection(exchange->connection);
@@ -315,6 +305,18 @@
   m_changed.notify_all();
 }
 
+void HttpListener::Impl::WatchClosed(const ExchangePtr& exchange,
+                                     std::function<void()> hook) {
+  std::lock_guard lock(exchange->mutex);
+  if (exchange->answered || exchange->close_watch)
+    return;
+  const MHD_ConnectionInfo* info = MHD_get_connection_info(
+      exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info != nullptr)
+    exchange->close_watch =
+        m_close_watcher.Watch(info->connect_fd, std::move(hook));
+}
+
 void HttpListener::Impl::OnCompleted(void* self,
                                      MHD_Connection* /*connection*/,
                                      void** state,
@@ -393,6 +395,7 @@
   }
   MHD_stop_daemon(m_daemon);
   m_daemon = nullptr;
+  m_close_watcher.Stop();
   return cut;
 }
 
--- a/src/runtime/http_listener.h
+++ b/src/runtime/http_listener.h
@@ -29,6 +29,9 @@
   // Why the listener itself refuses the request: 413 or 431. The handler
   // answers with this status in its own format; `body` is empty then.
   std::optional<int> refused_status;
+  // Takes a hook that is called at most once, on a thread of the listener, if
+  // the caller closes or half-closes its connection before the answer.
+  std::function<void(std::function<void()>)> on_closed{};
 
   // First header of that name, compared without regard to case.
   std::optional<std::string> Header(std::string_view name) const;
--- a/tests/http_listener_test.cc
+++ b/tests/http_listener_test.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <future>
 #include <map>
@@ -230,6 +231,38 @@
   close(fd);
 }
 
+// Guards against work that goes on for a caller that is gone.
+TEST(HttpListener, TellsThatCallerClosed) {
+  std::promise<void> closed;
+  std::promise<HttpResponder> kept;
+  HttpListener listener({}, [&](HttpRequest request, HttpResponder responder) {
+    request.on_closed([&] { closed.set_value(); });
+    kept.set_value(std::move(responder));
+  });
+  const int fd = Connect(listener.address());
+  const std::string request =
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+  ASSERT_EQ(write(fd, request.data(), request.size()),
+            static_cast<ssize_t>(request.size()));
+  HttpResponder responder = kept.get_future().get();
+  close(fd);
+  EXPECT_EQ(closed.get_future().wait_for(seconds(60)),
+            std::future_status::ready);
+  responder({});
+}
+
+// Guards against a hook that is called although the caller got its answer.
+TEST(HttpListener, AnsweredRequestIsNotReportedClosed) {
+  std::atomic<int> closed{0};
+  HttpListener listener({}, [&](HttpRequest request, HttpResponder responder) {
+    request.on_closed([&] { ++closed; });
+    responder({.body = "ok"});
+  });
+  for (int i = 0; i < 20; ++i)
+    EXPECT_EQ(Post(Url(listener, "/"), "x").body, "ok");
+  EXPECT_EQ(closed, 0);
+}
+
 // Guards against an unclear start with a bad or taken address.
 TEST(HttpListener, BadAddressThrows) {
   for (const char* address : {"", "nonsense", "127.0.0.1", "127.0.0.1:x",
