Add membership, settings propagation and the settings writer

Membership merges the lagging list with what peers show. SettingsSync holds the platform watch at the instances that rendezvous hashing selects, sends digests and news to peers and pulls what is newer. SettingsWriter writes by compare-and-swap, settles lost responses by the change ids and merges by key.

kWatchTimeout goes from 30 s to 2 s: a watch whose connection went silent would hide a change for longer than the bound of 5 s.

Tests under the manual clock: convergence within 5 s after outages, partitions, replacements and invalid values; racing, paused and late writers.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -199,8 +199,49 @@
 // --- Settings spread and membership ---
 inline constexpr uint32_t kWatchersPerDataCentre = 2;
 inline constexpr Duration kDigestPeriod = milliseconds(500);
-inline constexpr Duration kWatchTimeout = seconds(30);
+// Bounds how long a connection that went silent hides a change; the bound of
+// propagation is 5 s.
+inline constexpr Duration kWatchTimeout = seconds(2);
+// Added to kWatchTimeout before an unanswered watch is given up.
+inline constexpr Duration kWatchGrace = seconds(1);
+// Least time between two watches of one instance, so that a burst of changes
+// is read in one response.
+inline constexpr Duration kMinWatchGap = milliseconds(200);
+// Short, because a change that is accepted just after an outage must be seen
+// within the bound of propagation.
+inline constexpr Duration kWatchMaxBackoff = milliseconds(1500);
+inline constexpr Duration kPlatformBackoff = milliseconds(200);
+inline constexpr Duration kPlatformMaxBackoff = seconds(10);
+// Peers told at once of a newer value, and the time for which further news is
+// gathered first.
+inline constexpr uint32_t kNewsFanout = 3;
+inline constexpr Duration kNewsDelay = milliseconds(20);
+// One in this many digest responses lists all revisions, though the sender only
+// needs the newer ones; repairs a gap below the greatest revision.
+inline constexpr uint32_t kFullListPeriod = 8;
+// Entries of each kind of notice in one digest.
+inline constexpr size_t kMaxPeerNotices = 64;
+// One in this many digest rounds calls a suspect instance, so that instances
+// that suspect each other find out when contact returns.
+inline constexpr uint32_t kSuspectProbePeriod = 4;
 inline constexpr Duration kInstanceListPeriod = seconds(1);
+// Bounds the traffic of reading the list: the period grows with the number of
+// instances, each of which takes this many bytes.
+inline constexpr size_t kInstanceListBytesPerSecond = 8192;
+inline constexpr size_t kListedInstanceBytes = 128;
+// Time between two announcements of one instance, and the announcements of all
+// instances together per second, whichever is slower.
+inline constexpr Duration kAnnouncePeriod = seconds(5);
+inline constexpr double kAnnouncementsPerSecond = 100.0;
+// Failed calls after which an instance is suspect.
+inline constexpr uint32_t kSuspectFailures = 2;
+// The list does not overrule direct contact that is younger than this.
+inline constexpr Duration kDirectEvidence = seconds(10);
+// Lists that lack an instance before it is gone.
+inline constexpr uint32_t kMissingLists = 3;
+// Time after which a suspect that no recent list shows is gone.
+inline constexpr Duration kSuspectExpiry = seconds(30);
+inline constexpr size_t kMaxReplacedInstances = 4096;
 // Platform calls for settings and membership, per data centre and second.
 inline constexpr uint32_t kPlatformCallsPerSecond = 100;
 inline constexpr uint32_t kRememberedChangeIds = 16;
--- /dev/null
+++ b/src/decision/membership/member_table.h
@@ -0,0 +1,88 @@
+#ifndef SRC_DECISION_MEMBERSHIP_MEMBER_TABLE_H_
+#define SRC_DECISION_MEMBERSHIP_MEMBER_TABLE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "wasabihook/peer.h"
+#include "wasabihook/platform.h"
+#include "wasabihook/units.h"
+
+namespace wasabihook {
+
+enum class MemberState : uint8_t {
+  kLive,
+  kLeaving,  // Said so itself, or the list does. Never becomes live again.
+  kSuspect,  // Does not answer this instance.
+  kGone,
+};
+
+std::string ToString(MemberState state);
+
+struct Member {
+  PeerIdentity identity;
+  MemberState state = MemberState::kLive;
+  // Latest message received from it.
+  std::optional<TimePoint> heard_at;
+};
+
+// Merges the platform's list with what peers and connections show. An instance
+// is (address, incarnation): another incarnation at an address replaces the
+// one before it for good. Not thread-safe; time is the caller's.
+class MemberTable {
+ public:
+  explicit MemberTable(PeerIdentity self);
+
+  void OnList(const std::vector<ListedInstance>& listed, TimePoint now);
+  // A message came from `from`.
+  void OnMessage(const PeerIdentity& from, bool leaving, TimePoint now);
+  // A call to `address` was not answered.
+  void OnUnreachable(const std::string& address, TimePoint now);
+  // Turns suspects that were not heard of for long into gone ones.
+  void Expire(TimePoint now);
+  void SetSelfLeaving();
+
+  // Without those gone; this instance first, then by address.
+  std::vector<Member> Members() const;
+  size_t size() const { return m_entries.size() + 1; }
+  // Grows whenever an identity or a state changes.
+  uint64_t version() const { return m_version; }
+  const PeerIdentity& self() const { return m_self.identity; }
+  bool self_leaving() const { return m_self.state == MemberState::kLeaving; }
+  // False if the latest list lacks this instance or shows another state.
+  bool self_listed() const { return m_self_listed; }
+
+ private:
+  struct Entry {
+    Member member;
+    bool listed = false;
+    uint32_t failures = 0;
+    uint32_t missing_lists = 0;
+    TimePoint suspect_since;
+  };
+
+  void MergeListed(const ListedInstance& listed, TimePoint now);
+  void MergeUnlisted(const std::set<std::string>& listed, TimePoint now);
+  void Replace(Entry& entry, Entry replacement);
+  void SetState(Entry& entry, MemberState state);
+  bool WasReplaced(const std::string& address, Incarnation incarnation) const;
+  static bool HeardRecently(const Entry& entry, TimePoint now);
+
+  uint64_t m_version = 1;
+  Member m_self;
+  bool m_self_listed = false;
+  std::optional<TimePoint> m_list_at;
+  std::map<std::string, Entry> m_entries;  // By address.
+  std::set<std::pair<std::string, Incarnation>> m_replaced;
+  std::deque<std::pair<std::string, Incarnation>> m_replaced_order;
+};
+
+}  // namespace wasabihook
+
+#endif  // SRC_DECISION_MEMBERSHIP_MEMBER_TABLE_H_
--- /dev/null
+++ b/src/decision/settings/platform_budget.cc
@@ -0,0 +1,33 @@
+#include "decision/settings/platform_budget.h"
+
+#include <algorithm>
+
+namespace wasabihook {
+namespace {
+
+// Keeps the time to the next token finite.
+constexpr double kMinRate = 0.01;
+
+}  // namespace
+
+void PlatformBudget::SetRate(double calls_per_second) {
+  m_rate = std::max(kMinRate, calls_per_second);
+}
+
+Duration PlatformBudget::Take(TimePoint now) {
+  using Seconds = std::chrono::duration<double>;
+  const double elapsed =
+      std::chrono::duration_cast<Seconds>(now - m_updated).count();
+  m_tokens = std::min(std::max(1.0, m_rate), m_tokens + elapsed * m_rate);
+  m_updated = now;
+  if (m_tokens >= 1.0) {
+    m_tokens -= 1.0;
+    return Duration(0);
+  }
+  // One more microsecond, so that rounding does not ask for a second wait.
+  return std::chrono::duration_cast<Duration>(
+             Seconds((1.0 - m_tokens) / m_rate)) +
+         Duration(1);
+}
+
+}  // namespace wasabihook
--- a/src/decision/settings/settings_registry.cc
+++ b/src/decision/settings/settings_registry.cc
@@ -42,6 +42,9 @@
     std::lock_guard lock(shard.mutex);
     outcome = Store(shard.subtrees[subtree], std::move(value), parsed, source);
   }
+  if (outcome != OfferOutcome::kStale) {
+    ++m_generation;
+  }
   if (outcome == OfferOutcome::kApplied) {
     Notify({subtree, revision, parsed.team, parsed.fleet});
   }
@@ -147,55 +150,62 @@
   }
 }
 
-template <typename Visit>
-void SettingsRegistry::ForEach(Visit visit) const {
-  std::map<std::string, Subtree> all;
+std::vector<SubtreeStatus> SettingsRegistry::Status() const {
+  std::vector<SubtreeStatus> list;
   for (const Shard& shard : m_shards) {
     std::lock_guard lock(shard.mutex);
-    all.insert(shard.subtrees.begin(), shard.subtrees.end());
-  }
-  for (const auto& [name, subtree] : all) {
-    visit(name, subtree);
+    for (const auto& [name, subtree] : shard.subtrees) {
+      list.push_back({name, subtree.newest.revision, subtree.good.revision,
+                      subtree.source, subtree.applied_at, subtree.rejected});
+    }
   }
+  std::sort(list.begin(), list.end(),
+            [](const auto& a, const auto& b) { return a.subtree < b.subtree; });
+  return list;
 }
 
-std::vector<SubtreeStatus> SettingsRegistry::Status() const {
-  std::vector<SubtreeStatus> list;
-  ForEach([&](const std::string& name, const Subtree& subtree) {
-    list.push_back({name, subtree.newest.revision, subtree.good.revision,
-                    subtree.source, subtree.applied_at, subtree.rejected});
-  });
-  return list;
+std::shared_ptr<const SettingsRegistry::Summary> SettingsRegistry::GetSummary()
+    const {
+  // Read before the subtrees, so that a later change is never missed.
+  const uint64_t generation = m_generation.load();
+  std::lock_guard lock(m_summary_mutex);
+  if (!m_summary || m_summary->generation != generation) {
+    m_summary = BuildSummary(generation);
+  }
+  return m_summary;
 }
 
-std::vector<SubtreeRevision> SettingsRegistry::Revisions() const {
-  std::vector<SubtreeRevision> list;
-  ForEach([&](const std::string& name, const Subtree& subtree) {
-    const Revision good = subtree.good.revision;
-    if (good > Revision(0)) {
-      list.push_back({name, good});
+std::shared_ptr<const SettingsRegistry::Summary> SettingsRegistry::BuildSummary(
+    uint64_t generation) const {
+  auto summary = std::make_shared<Summary>();
+  summary->generation = generation;
+  for (const SubtreeStatus& status : Status()) {
+    if (status.in_force > Revision(0)) {
+      summary->revisions.push_back({status.subtree, status.in_force});
     }
-    if (subtree.newest.revision != good) {
-      list.push_back({name, subtree.newest.revision});
+    if (status.newest != status.in_force) {
+      summary->revisions.push_back({status.subtree, status.newest});
     }
-  });
-  return list;
-}
-
-uint64_t SettingsRegistry::Hash() const {
+    summary->greatest = std::max(summary->greatest, status.newest);
+  }
   std::string text;
-  for (const auto& [subtree, revision] : Revisions()) {
+  for (const auto& [subtree, revision] : summary->revisions) {
     text += subtree + '\n' + std::to_string(revision.value()) + '\n';
   }
-  return XXH64(text.data(), text.size(), 0);
+  summary->hash = XXH64(text.data(), text.size(), 0);
+  return summary;
+}
+
+std::vector<SubtreeRevision> SettingsRegistry::Revisions() const {
+  return GetSummary()->revisions;
+}
+
+uint64_t SettingsRegistry::Hash() const {
+  return GetSummary()->hash;
 }
 
 Revision SettingsRegistry::GreatestRevision() const {
-  Revision greatest;
-  ForEach([&](const std::string&, const Subtree& subtree) {
-    greatest = std::max(greatest, subtree.newest.revision);
-  });
-  return greatest;
+  return GetSummary()->greatest;
 }
 
 bool SettingsRegistry::Wants(const SubtreeRevision& offered) const {
--- a/src/decision/settings/settings_registry.h
+++ b/src/decision/settings/settings_registry.h
@@ -2,6 +2,7 @@
 #define SRC_DECISION_SETTINGS_SETTINGS_REGISTRY_H_
 
 #include <array>
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -126,13 +127,22 @@
                      const Parsed& parsed,
                      SettingsSource source);
   void Notify(const SettingsChange& change);
-  // Calls `visit(name, subtree)` for every subtree in order of name.
-  template <typename Visit>
-  void ForEach(Visit visit) const;
+  // What digests are made of; rebuilt when a subtree has changed.
+  struct Summary {
+    uint64_t generation = 0;
+    std::vector<SubtreeRevision> revisions;
+    uint64_t hash = 0;
+    Revision greatest;
+  };
+  std::shared_ptr<const Summary> GetSummary() const;
+  std::shared_ptr<const Summary> BuildSummary(uint64_t generation) const;
 
   const TimerService* const m_timers;
   const FleetSettingsPtr m_default_fleet;
   std::array<Shard, config::kStateShards> m_shards;
+  std::atomic<uint64_t> m_generation{1};
+  mutable std::mutex m_summary_mutex;
+  mutable std::shared_ptr<const Summary> m_summary;
   std::mutex m_subscriber_mutex;
   uint64_t m_next_subscriber = 1;
   std::map<uint64_t, std::shared_ptr<const Subscriber>> m_subscribers;
--- /dev/null
+++ b/tests/settings_writer_test.cc
@@ -0,0 +1,240 @@
+#include "decision/settings/settings_writer.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "testing/fake_platform.h"
+#include "testing/manual_timer_service.h"
+
+namespace wasabihook {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const char kKey[] = "settings/teams/clerks";
+const char kBase[] = "# Kept comment\n[team]\nname = \"clerks\"\n";
+
+class Bench {
+ public:
+  explicit Bench(uint64_t seed)
+      : random(MakeRandomSource(seed)),
+        platform(&timers, random),
+        writer({&timers, &platform, random}) {
+    platform.CompareAndSwap(kKey, Revision(0), kBase, [](const auto&) {});
+    timers.RunDue();
+  }
+
+  KeyValue Stored() { return platform.Contents(kKey).at(0); }
+
+  // Result of a write of `text` over `base`, once it is there.
+  std::shared_ptr<std::optional<SettingsWriteResult>> Put(
+      const std::string& id,
+      const std::string& text,
+      const KeyValue& base,
+      bool merge) {
+    auto result = std::make_shared<std::optional<SettingsWriteResult>>();
+    writer.Put({"teams/clerks", text, base.value, base.revision, id, merge},
+               seconds(10), [result](SettingsWriteResult r) {
+                 ASSERT_FALSE(result->has_value());
+                 *result = std::move(r);
+               });
+    return result;
+  }
+
+  testing::ManualTimerService timers;
+  RandomSource random;
+  testing::FakePlatform platform;
+  SettingsWriter writer;
+};
+
+// Guards against a write whose response was lost being reported as failed, or
+// written twice.
+TEST(SettingsWriterTest, LostResponseIsSettledByReadingBack) {
+  Bench bench(1);
+  const KeyValue base = bench.Stored();
+  bench.platform.SetFaults({.lose_write_responses = 1});
+  const auto result =
+      bench.Put("c-1", base.value + "[limits]\nmax_queued = 3\n", base, false);
+  bench.timers.Advance(seconds(10));
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->status, SettingsWriteStatus::kWritten);
+  EXPECT_TRUE((*result)->found_applied);
+  EXPECT_EQ((*result)->revision, bench.Stored().revision);
+  EXPECT_EQ(bench.Stored().revision.value(), base.revision.value() + 1);
+  EXPECT_NE(bench.Stored().value.find("# Kept comment"), std::string::npos);
+  const auto again =
+      bench.Put("c-1", base.value + "[limits]\nmax_queued = 3\n", base, false);
+  bench.timers.Advance(seconds(10));
+  EXPECT_EQ((*again)->status, SettingsWriteStatus::kWritten);
+  EXPECT_EQ(bench.Stored().revision.value(), base.revision.value() + 1);
+}
+
+// Guards against a lost race that overwrites the change that came first.
+TEST(SettingsWriterTest, LostRaceShowsBothChangesAndMergesOnlyOtherKeys) {
+  Bench bench(2);
+  const KeyValue base = bench.Stored();
+  const auto first =
+      bench.Put("c-1", base.value + "[limits]\nmax_queued = 3\n", base, false);
+  bench.timers.Advance(seconds(1));
+  EXPECT_EQ((*first)->status, SettingsWriteStatus::kWritten);
+  const auto same_key =
+      bench.Put("c-2", base.value + "[limits]\nmax_queued = 4\n", base, true);
+  const std::string other_key = base.value + "[hedging]\nmax_attempts = 2\n";
+  const auto unmerged = bench.Put("c-3", other_key, base, false);
+  bench.timers.Advance(seconds(1));
+  EXPECT_EQ((*same_key)->status, SettingsWriteStatus::kConflict);
+  ASSERT_EQ((*same_key)->conflicts.size(), 1u);
+  EXPECT_EQ((*same_key)->conflicts[0].path, "limits.max_queued");
+  EXPECT_EQ((*same_key)->conflicts[0].ours, "4");
+  EXPECT_EQ((*same_key)->conflicts[0].theirs, "3");
+  EXPECT_EQ((*unmerged)->status, SettingsWriteStatus::kConflict);
+  const auto merged = bench.Put("c-4", other_key, base, true);
+  bench.timers.Advance(seconds(1));
+  EXPECT_EQ((*merged)->status, SettingsWriteStatus::kWritten);
+  EXPECT_TRUE((*merged)->merged);
+  const TeamSettings settings =
+      ParseTeamSettings(TeamId("clerks"), Revision(1), bench.Stored().value)
+          .settings;
+  EXPECT_EQ(settings.max_queued, 3u);
+  EXPECT_EQ(settings.max_attempts, 2u);
+}
+
+// Guards against invalid values reaching the store, and against claims about
+// the outcome of writes that cannot be settled.
+TEST(SettingsWriterTest, ReportsInvalidUnavailableAndUnknown) {
+  Bench bench(3);
+  const KeyValue base = bench.Stored();
+  const auto invalid = bench.Put("c-1", "[team]\n", base, false);
+  const auto unnamed = bench.Put("", base.value, base, false);
+  bench.timers.Advance(seconds(1));
+  EXPECT_EQ((*invalid)->status, SettingsWriteStatus::kInvalid);
+  EXPECT_EQ((*invalid)->problems.at(0).path, "team.name");
+  EXPECT_EQ((*unnamed)->status, SettingsWriteStatus::kInvalid);
+  EXPECT_EQ(bench.Stored().revision, base.revision);
+  bench.platform.SetFaults({.down = true});
+  const auto unavailable = bench.Put("c-2", base.value, base, false);
+  bench.timers.Advance(seconds(20));
+  EXPECT_EQ((*unavailable)->status, SettingsWriteStatus::kUnavailable);
+  bench.platform.SetFaults({.lose_write_response_probability = 1});
+  const auto unknown = bench.Put("c-3", base.value, base, false);
+  bench.timers.Advance(milliseconds(0));
+  bench.platform.SetFaults({.down = true});
+  bench.timers.Advance(seconds(20));
+  EXPECT_EQ((*unknown)->status, SettingsWriteStatus::kUnknown);
+}
+
+// Guards against difference and merge that miss nested or removed keys.
+TEST(SettingsTextTest, MergesByKey) {
+  const std::string base = "[a]\nx = 1\ny = 2\n[b]\nz = [1, 2]\n";
+  const SettingsMerge merge =
+      MergeSettings(base, "[a]\nx = 5\n[b]\nz = [1, 2]\n[c]\nn = true\n",
+                    "[a]\nx = 1\ny = 2\n[b]\nz = [3]\n");
+  EXPECT_TRUE(merge.conflicts.empty());
+  EXPECT_TRUE(
+      DiffSettings(merge.text, "[a]\nx = 5\n[b]\nz = [3]\n[c]\nn = true\n")
+          .empty());
+  const SettingsMerge both =
+      MergeSettings(base, "[a]\nx = 1\n", "[a]\nx = 1\ny = 3\n");
+  ASSERT_EQ(both.conflicts.size(), 1u);
+  EXPECT_EQ(both.conflicts[0].path, "a.y");
+  EXPECT_FALSE(both.conflicts[0].ours.has_value());
+  EXPECT_EQ(MergeSettings(base, "[a]\nx = 1\ny = 2\n", base).text,
+            "[a]\nx = 1\ny = 2\n");
+}
+
+std::string WithIndexSet(const std::string& text, const std::string& name) {
+  return text + "\n[index_sets." + name +
+         "]\nindex_version = 1\nmap_version = 1\n[[index_sets." + name +
+         ".groups]]\nid = \"g0\"\nrecords = 1\nservers = "
+         "[\"127.0.0.1:9001@bay-a\"]\n";
+}
+
+std::set<std::string> IndexSets(const std::string& text) {
+  std::set<std::string> names;
+  for (const auto& [id, snapshot] :
+       ParseTeamSettings(TeamId("clerks"), Revision(1), text)
+           .settings.index_sets) {
+    names.insert(id.value());
+  }
+  return names;
+}
+
+// Guards against accepted changes that are lost, refused ones that take effect,
+// and changes that are applied twice, among racing and paused writers whose
+// responses are lost, late or dropped. Each change adds an index set of its
+// own; a change that removes one follows some of them, so that an add applied
+// twice would show.
+RC_GTEST_PROP(SettingsWriterTest,
+              RacingWritersLoseNothingAndRepeatNothing,
+              ()) {
+  Bench bench(*rc::gen::arbitrary<uint64_t>());
+  using Pending = std::shared_ptr<std::optional<SettingsWriteResult>>;
+  struct Change {
+    std::string adds;
+    std::string removes;
+    Pending result;
+  };
+  std::vector<Change> changes;
+  const auto rounds = *rc::gen::inRange(1, 5);
+  for (int round = 0; round < rounds; ++round) {
+    bench.platform.SetFaults(
+        {.slow_jitter = milliseconds(*rc::gen::inRange(0, 3000)),
+         .lose_write_response_probability = 0.3,
+         .drop_request_probability = 0.1,
+         .late_write_probability = 0.2,
+         .late_by = milliseconds(*rc::gen::inRange(0, 4000)),
+         .lost_after = milliseconds(*rc::gen::inRange(0, 500))});
+    const KeyValue base = bench.Stored();
+    const std::set<std::string> present = IndexSets(base.value);
+    const auto writers = *rc::gen::inRange(1, 4);
+    for (int w = 0; w < writers; ++w) {
+      const std::string name =
+          "s" + std::to_string(round) + "-" + std::to_string(w);
+      const std::string id = "c-" + name;
+      const bool merge = *rc::gen::arbitrary<bool>();
+      if (w == 0 && !present.empty()) {
+        // Leaves out everything that was there.
+        changes.push_back(
+            {"", *present.begin(),
+             bench.Put(id,
+                       MergeSettings(WithIndexSet(kBase, *present.begin()),
+                                     kBase, base.value)
+                           .text,
+                       base, merge)});
+      } else {
+        changes.push_back(
+            {name, "",
+             bench.Put(id, WithIndexSet(base.value, name), base, merge)});
+      }
+    }
+    bench.timers.Advance(seconds(30));
+  }
+  std::map<std::string, bool> certain;  // Name: present.
+  std::set<std::string> uncertain;
+  for (const Change& change : changes) {
+    RC_ASSERT(change.result->has_value());
+    const SettingsWriteStatus status = (*change.result)->status;
+    RC_ASSERT(status != SettingsWriteStatus::kInvalid);
+    const std::string name = change.adds.empty() ? change.removes : change.adds;
+    if (status == SettingsWriteStatus::kUnknown) {
+      uncertain.insert(name);
+    } else if (status == SettingsWriteStatus::kWritten) {
+      certain[name] = change.removes.empty();
+    } else if (change.removes.empty()) {
+      certain[name] = false;
+    }
+  }
+  const std::set<std::string> present = IndexSets(bench.Stored().value);
+  for (const auto& [name, expected] : certain) {
+    if (!uncertain.contains(name)) {
+      RC_ASSERT(present.contains(name) == expected);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace wasabihook
