--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -33,6 +33,8 @@
 inline constexpr Duration kMaxCallerDeadline = hours(1);
 // Greatest Unix time in milliseconds that is accepted (year 9999).
 inline constexpr int64_t kMaxUnixMillis = 253'402'300'799'999;
+// When a request that came before the settings may be sent again.
+inline constexpr Duration kNoSettingsRetry = seconds(1);
 // Time a stopping listener gives a new connection to send its first request.
 inline constexpr Duration kStopLinger = milliseconds(200);
 
@@ -169,6 +171,19 @@
 inline constexpr Duration kClaimRetention = hours(24);
 inline constexpr Duration kClockMargin = minutes(5);
 inline constexpr Duration kQuarantineExpiry = minutes(10);
+// Delay before an unclear claim write is read back again.
+inline constexpr Duration kClaimRetryBaseDelay = milliseconds(5);
+inline constexpr Duration kClaimRetryMaxDelay = milliseconds(100);
+// Delay before outcomes and withdrawals are tried again.
+inline constexpr Duration kClaimFinishBaseDelay = milliseconds(20);
+inline constexpr Duration kClaimFinishMaxDelay = seconds(10);
+inline constexpr uint32_t kMaxClaimFinishAttempts = 4096;
+inline constexpr uint32_t kMaxClaimFinishesInFlight = 16;
+inline constexpr size_t kMaxUnfinishedClaims = 10'000;
+// Rows beyond this are not kept with a claim.
+inline constexpr size_t kMaxRecordedOutcomeBytes = size_t{16} * 1024;
+// Key ranges of a team's claims; the cleaner lists one range at a time.
+inline constexpr uint32_t kClaimBuckets = 4096;
 
 // --- Service-level objectives ---
 inline constexpr Duration kLatencyObjective = milliseconds(82);
@@ -184,6 +199,12 @@
 // Bounds the memory of the aggregator when instances catch up after an outage.
 inline constexpr size_t kBurnBucketsPerResponse = 10;
 inline constexpr size_t kBurnPeerCallsInFlight = 16;
+// Largest value that the platform takes: 1 MB.
+inline constexpr size_t kMaxBurnValueBytes = 1'000'000;
+// A leaving instance writes its last counts itself; it competes with the
+// aggregator and with other leaving instances.
+inline constexpr int kBurnHandOverAttempts = 6;
+inline constexpr Duration kBurnHandOverBackoff = milliseconds(200);
 inline constexpr size_t kBurnCausesPerCell = 16;
 // Ages up to which counts are kept by the minute, by five minutes and by the
 // hour. Each exceeds the report windows that it serves by a margin.
@@ -195,6 +216,9 @@
 // Burn rates of the alerts. At 14.4, one hour uses up 20 % of a budget of 3 d.
 inline constexpr double kPageBurnRate = 14.4;
 inline constexpr double kTicketBurnRate = 1.0;
+inline constexpr size_t kReportCauses = 5;
+// Counts reach the platform within three minutes when all is well.
+inline constexpr Duration kReportStaleAge = minutes(10);
 
 // --- Settings spread and membership ---
 inline constexpr uint32_t kWatchersPerDataCentre = 2;
@@ -273,8 +297,8 @@
 inline constexpr uint32_t kMaxPlatformCalls = 4096;
 inline constexpr uint32_t kMaxPlatformConnections = 64;
 inline constexpr size_t kMaxPlatformKeyBytes = 1024;
-inline constexpr size_t kMaxPlatformValueBytes = 1024 * 1024;
-inline constexpr size_t kMaxPlatformResponseBytes = 64 * 1024 * 1024;
+inline constexpr size_t kMaxPlatformValueBytes = size_t{1024} * 1024;
+inline constexpr size_t kMaxPlatformResponseBytes = size_t{64} * 1024 * 1024;
 
 // --- Shutdown ---
 inline constexpr Duration kDrainNotice = seconds(5);
