Rename the burn histogram apart from that of hedging

Two classes named LatencyHistogram with different layouts were linked into one library, which breaks the one-definition rule: their count() has the same symbol. The class of the burn counts is now BurnHistogram. The aggregator is selected with the shared rendezvous hashing.

--- a/include/wasabihook/burn_counts.h
+++ b/include/wasabihook/burn_counts.h
@@ -19,7 +19,7 @@
 // Latencies in fixed log-linear buckets: eight for each power of two of
 // microseconds, so a quantile is at most 12.5 % too high. Merging two
 // histograms loses nothing, because every histogram has the same buckets.
-class LatencyHistogram {
+class BurnHistogram {
  public:
   struct Bucket {
     uint16_t index = 0;
@@ -35,7 +35,7 @@
   // Adds `count` to a bucket; used when decoding. Throws std::out_of_range if
   // there is no such bucket.
   void Add(uint16_t index, uint64_t count);
-  void Merge(const LatencyHistogram& other);
+  void Merge(const BurnHistogram& other);
 
   uint64_t count() const;
   // Upper bound of the bucket that holds the quantile; 0 if empty.
@@ -43,8 +43,7 @@
   // Buckets that are not empty, by index.
   const std::vector<Bucket>& buckets() const { return m_buckets; }
 
-  friend bool operator==(const LatencyHistogram&,
-                         const LatencyHistogram&) = default;
+  friend bool operator==(const BurnHistogram&, const BurnHistogram&) = default;
 
  private:
   std::vector<Bucket> m_buckets;
@@ -79,7 +78,7 @@
   uint64_t latency_bad = 0;
   // Answered incompletely, or not at all.
   uint64_t coverage_bad = 0;
-  LatencyHistogram latency;
+  BurnHistogram latency;
   // Bad requests in which the cause occurred. A request with several missing
   // groups counts once for each.
   std::map<BurnCause, uint64_t> causes;
--- a/src/decision/burn/burn_aggregator.cc
+++ b/src/decision/burn/burn_aggregator.cc
@@ -1,13 +1,12 @@
 #include "decision/burn/burn_aggregator.h"
 
-#include <xxhash.h>
-
 #include <deque>
 #include <mutex>
 #include <stdexcept>
 #include <utility>
 
 #include "decision/burn/burn_codec.h"
+#include "decision/routing/rendezvous.h"
 
 namespace wasabihook {
 namespace {
@@ -35,18 +34,15 @@
 
 std::optional<InstanceId> BurnAggregatorAmong(
     const std::vector<PeerIdentity>& live) {
-  std::optional<InstanceId> best;
-  uint64_t best_score = 0;
+  std::vector<std::string> names;
   for (const PeerIdentity& peer : live) {
-    const std::string text = kBurnKeyPrefix + peer.instance.value();
-    const uint64_t score = XXH64(text.data(), text.size(), 0);
-    if (!best || score > best_score ||
-        (score == best_score && peer.instance < *best)) {
-      best = peer.instance;
-      best_score = score;
-    }
+    names.push_back(peer.instance.value());
+  }
+  const std::vector<size_t> winner = RendezvousTopK(kBurnKeyPrefix, names, 1);
+  if (winner.empty()) {
+    return std::nullopt;
   }
-  return best;
+  return live.at(winner.front()).instance;
 }
 
 // Outlives the BurnAggregator while calls are under way.
--- a/src/decision/burn/burn_codec.cc
+++ b/src/decision/burn/burn_codec.cc
@@ -23,7 +23,7 @@
 // team and minute.
 Json CellToJson(const BurnCell& cell) {
   Json latency = Json::array();
-  for (const LatencyHistogram::Bucket& bucket : cell.latency.buckets()) {
+  for (const BurnHistogram::Bucket& bucket : cell.latency.buckets()) {
     latency.push_back(bucket.index);
     latency.push_back(bucket.count);
   }
--- a/src/decision/burn/latency_histogram.cc
+++ b/src/decision/burn/burn_histogram.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-uint16_t LatencyHistogram::IndexOf(Duration latency) {
+uint16_t BurnHistogram::IndexOf(Duration latency) {
   const auto raw = static_cast<uint64_t>(std::max<int64_t>(latency.count(), 0));
   const uint64_t value = std::min(raw, kLargestMicroseconds);
   if (value < kSubBuckets) {
@@ -29,7 +29,7 @@
   return static_cast<uint16_t>((shift + 1) * kSubBuckets + sub);
 }
 
-Duration LatencyHistogram::UpperBound(uint16_t index) {
+Duration BurnHistogram::UpperBound(uint16_t index) {
   if (index < kSubBuckets) {
     return Duration(index + 1);
   }
@@ -38,11 +38,11 @@
   return Duration((kSubBuckets + sub + 1) << shift);
 }
 
-void LatencyHistogram::Record(Duration latency) {
+void BurnHistogram::Record(Duration latency) {
   Add(IndexOf(latency), 1);
 }
 
-void LatencyHistogram::Add(uint16_t index, uint64_t count) {
+void BurnHistogram::Add(uint16_t index, uint64_t count) {
   if (index > IndexOf(Duration::max())) {
     throw std::out_of_range("latency bucket out of range");
   }
@@ -55,13 +55,13 @@
   it->count += count;
 }
 
-void LatencyHistogram::Merge(const LatencyHistogram& other) {
+void BurnHistogram::Merge(const BurnHistogram& other) {
   for (const Bucket& bucket : other.m_buckets) {
     Add(bucket.index, bucket.count);
   }
 }
 
-uint64_t LatencyHistogram::count() const {
+uint64_t BurnHistogram::count() const {
   uint64_t sum = 0;
   for (const Bucket& bucket : m_buckets) {
     sum += bucket.count;
@@ -69,7 +69,7 @@
   return sum;
 }
 
-Duration LatencyHistogram::Quantile(Fraction quantile) const {
+Duration BurnHistogram::Quantile(Fraction quantile) const {
   const auto rank = static_cast<uint64_t>(
       std::ceil(quantile.value * static_cast<double>(count())));
   uint64_t seen = 0;
--- a/src/decision/burn/burn_ledger.cc
+++ b/src/decision/burn/burn_ledger.cc
@@ -92,7 +92,7 @@
   for (auto& [id, team] : teams) {
     for (auto& [span, cell] : team.cells) {
       if (span.width >= width) {
-        cell.latency = LatencyHistogram();
+        cell.latency = BurnHistogram();
         cell.causes.clear();
       }
     }
--- a/src/peers/instance/burn_codec.cc
+++ b/src/peers/instance/burn_codec.cc
@@ -37,8 +37,8 @@
   return json;
 }
 
-LatencyHistogram DecodeLatency(const ObjectReader& reader) {
-  LatencyHistogram latency;
+BurnHistogram DecodeLatency(const ObjectReader& reader) {
+  BurnHistogram latency;
   reader.List("latency", [&](const Json::Value& item, const std::string& path) {
     const ObjectReader bucket(item, path);
     try {
--- a/tests/burn_counters_test.cc
+++ b/tests/burn_counters_test.cc
@@ -56,7 +56,7 @@
 RC_GTEST_PROP(LatencyHistogramTest, QuantileWithinOneBucket, ()) {
   const auto values = *rc::gen::nonEmpty(
       rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100'000'000)));
-  LatencyHistogram histogram;
+  BurnHistogram histogram;
   for (int value : values) {
     histogram.Record(microseconds(value));
   }
@@ -76,7 +76,7 @@
 RC_GTEST_PROP(LatencyHistogramTest, MergeEqualsRecordingAll, ()) {
   const auto values =
       *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 10'000'000));
-  LatencyHistogram all, left, right;
+  BurnHistogram all, left, right;
   for (size_t i = 0; i < values.size(); ++i) {
     all.Record(microseconds(values[i]));
     (i % 2 == 0 ? left : right).Record(microseconds(values[i]));
--- a/tests/burn_report_test.cc
+++ b/tests/burn_report_test.cc
@@ -29,7 +29,7 @@
       cell.causes[{BurnObjective::kLatency, BurnCauseKind::kStraggler,
                    "10.0.0.7:80"}] = late;
     }
-    cell.latency.Add(LatencyHistogram::IndexOf(std::chrono::milliseconds(20)),
+    cell.latency.Add(BurnHistogram::IndexOf(std::chrono::milliseconds(20)),
                      1000);
     team.cells[{kNow - age, 1}] = cell;
   }
