--- a/bench/capacity_benchmark.cc
+++ b/bench/capacity_benchmark.cc
@@ -13,6 +13,7 @@
 #include "decision/burn/burn_cell.h"
 #include "decision/burn/burn_codec.h"
 #include "decision/burn/burn_counters.h"
+#include "decision/operations/claim_store.h"
 #include "decision/routing/admission_controller.h"
 #include "decision/routing/hedge_policy.h"
 #include "decision/routing/rendezvous.h"
@@ -433,6 +434,77 @@
     ->Args({1, 451})
     ->Unit(benchmark::kNanosecond);
 
+// Grants every write when told to.
+class ReadyStore : public KeyValueStore {
+ public:
+  void Get(std::string, std::function<void(GetResult)> done) override {
+    done({StoreStatus::kNotFound, {}});
+  }
+  void List(std::string,
+            std::optional<Revision>,
+            Duration,
+            std::function<void(ListResult)>) override {}
+  void Delete(std::string,
+              Revision,
+              std::function<void(WriteResult)>) override {}
+  void CompareAndSwap(std::string key,
+                      Revision,
+                      std::string value,
+                      std::function<void(WriteResult)> done) override {
+    m_bytes += key.size() + value.size();
+    ++m_writes;
+    m_calls.push_back(std::move(done));
+  }
+  void AnswerAll() {
+    while (!m_calls.empty()) {
+      const auto done = std::move(m_calls.front());
+      m_calls.pop_front();
+      done({StoreStatus::kOk, Revision(++m_revision), {}});
+    }
+  }
+
+  uint64_t m_bytes = 0;
+  uint64_t m_writes = 0;
+  uint64_t m_revision = 0;
+  std::deque<std::function<void(WriteResult)>> m_calls;
+};
+
+// Claim and outcome of one operation; the removal comes on top.
+void BM_Claim(benchmark::State& state) {
+  ManualTimerService timers;
+  ReadyStore store;
+  KeyValueClaimStore claims({&timers,
+                             &store,
+                             MakeRandomSource(3),
+                             InstanceId("instance-0001"),
+                             Incarnation(0x7f3a12345678),
+                             {}});
+  uint64_t granted = 0;
+  for (auto _ : state) {
+    const ClaimKey key{
+        kTeam, IdempotencyKey("order-" + std::to_string(state.iterations()))};
+    claims.Claim(
+        key, Fingerprint(1), timers.Now() + std::chrono::seconds(1),
+        [&](const ClaimResult& result) {
+          if (result.status == ClaimStatus::kGranted) {
+            ++granted;
+            claims.Record(key, result.nonce, {RunState::kRan, {kRow}, {}});
+          }
+        });
+    store.AnswerAll();
+    timers.RunDue();
+    store.AnswerAll();
+  }
+  if (granted != static_cast<uint64_t>(state.iterations())) {
+    state.SkipWithError("not every claim was granted");
+  }
+  const auto operations = static_cast<double>(state.iterations());
+  state.counters["bytes_wire"] =
+      static_cast<double>(store.m_bytes) / operations;
+  state.counters["writes"] = static_cast<double>(store.m_writes) / operations;
+}
+BENCHMARK(BM_Claim);
+
 // Choice of the owner of one key among N instances.
 void BM_Rendezvous(benchmark::State& state) {
   std::vector<std::string> names;
