--- a/src/testing/load/backends_control.cc
+++ b/src/testing/load/backends_control.cc
@@ -1,5 +1,6 @@
 #include "testing/load/backends_control.h"
 
+#include <algorithm>
 #include <chrono>
 #include <stdexcept>
 #include <utility>
@@ -33,11 +34,11 @@
   for (const Json& entry : list) {
     runs->push_back(
         {.index_set = entry.at("index_set").get<std::string>(),
-         .group = entry.at("group").get<std::string>(),
+         .group = entry.value("group", std::string()),
          .snapshot = {IndexVersion(entry.at("index_version").get<uint64_t>()),
                       MapVersion(entry.at("map_version").get<uint64_t>())},
          .kind = KindOf(entry.at("kind").get<std::string>()),
-         .payload = entry.at("payload").get<std::string>(),
+         .payload = entry.value("payload", std::string()),
          .idempotency_key = entry.value("idempotency_key", std::string())});
   }
 }
@@ -79,12 +80,13 @@
   return counts;
 }
 
-std::vector<RunRecord> BackendsControl::Runs() const {
+void BackendsControl::ReadRuns(Truth* truth) const {
   const Json log = Json::parse(Get("/log"));
-  std::vector<RunRecord> runs;
-  AppendRuns(log.at("operations"), &runs);
-  AppendRuns(log.at("reads"), &runs);
-  return runs;
+  AppendRuns(log.at("reads"), &truth->runs);
+  truth->reads_named =
+      std::none_of(truth->runs.begin(), truth->runs.end(),
+                   [](const RunRecord& run) { return run.payload.empty(); });
+  AppendRuns(log.at("operations"), &truth->runs);
 }
 
 std::string BackendsControl::SettingsText(const std::string& team) const {
--- a/src/testing/load/backends_control.h
+++ b/src/testing/load/backends_control.h
@@ -35,8 +35,8 @@
 
   std::vector<ControlledServer> Servers() const;
   CountsByServer Counts() const;
-  // Runs on record, and the number of runs of each idempotency key.
-  std::vector<RunRecord> Runs() const;
+  // Sets the runs on record.
+  void ReadRuns(Truth* truth) const;
   // Settings subtree of `team` that matches the present state.
   std::string SettingsText(const std::string& team) const;
 
--- a/src/testing/load/oracle.cc
+++ b/src/testing/load/oracle.cc
@@ -215,6 +215,9 @@
 bool Oracle::RanIn(const LoadRequest& request,
                    const SnapshotId& snapshot,
                    const std::string& group) const {
+  if (!m_truth.reads_named) {
+    return true;
+  }
   const auto found = m_runs_by_request.find(KeyOf(request));
   if (found == m_runs_by_request.end()) {
     return false;
--- a/src/testing/load/oracle.h
+++ b/src/testing/load/oracle.h
@@ -55,6 +55,9 @@
   // By index set and snapshot.
   std::map<std::string, std::map<SnapshotId, PublishedSnapshot>> published;
   std::vector<RunRecord> runs;
+  // False if the records of reads lack their payload and group, so that only
+  // operations can be matched with their runs.
+  bool reads_named = true;
   // Rows, as JSON text, that a group returns for a request in a snapshot.
   std::function<std::vector<std::string>(const LoadRequest& request,
                                          const SnapshotId& snapshot,
