--- a/src/testing/load/counts_timeline.cc
+++ b/src/testing/load/counts_timeline.cc
@@ -62,6 +62,22 @@
   return m_readings.back().counts;
 }
 
+double CountsTimeline::ReceivedAt(Duration at) const {
+  const auto total = [](const Reading& reading) {
+    return static_cast<double>(Total(reading.counts, &ServerCounts::received));
+  };
+  for (size_t i = 1; i < m_readings.size(); ++i) {
+    const Reading& before = m_readings[i - 1];
+    const Reading& after = m_readings[i];
+    if (before.at <= at && at < after.at) {
+      const double share = static_cast<double>((at - before.at).count()) /
+                           static_cast<double>((after.at - before.at).count());
+      return total(before) + share * (total(after) - total(before));
+    }
+  }
+  return total(m_readings.back());
+}
+
 uint64_t Total(const CountsByServer& counts,
                uint64_t ServerCounts::*counter,
                const std::vector<std::string>& names) {
--- a/src/testing/load/counts_timeline.h
+++ b/src/testing/load/counts_timeline.h
@@ -30,6 +30,8 @@
   // First reading at or after `at`, or the last one. Valid after Finish().
   const CountsByServer& At(Duration at) const;
   const CountsByServer& Last() const;
+  // Requests received by all servers at `at`, interpolated between readings.
+  double ReceivedAt(Duration at) const;
 
  private:
   struct Reading {
--- a/src/testing/load/report.cc
+++ b/src/testing/load/report.cc
@@ -150,7 +150,8 @@
         << Percent(figures.coverage) << " | " << Percent(figures.complete_share)
         << " | " << Number(result.extra_load, kLoadDigits) << " | "
         << figures.refused << " | " << figures.errors << " | " << result.wrong
-        << " | " << Number(result.busy.machine * 100, 0) << " % ("
+        << (result.runs_checked == 0 ? " (runs not matched)" : "") << " | "
+        << Number(result.busy.machine * 100, 0) << " % ("
         << Number(result.busy.own * 100, 0) << " %) | "
         << BoundsCell(result, results) << " |\n";
   }
--- a/src/testing/load/scenario_run.cc
+++ b/src/testing/load/scenario_run.cc
@@ -169,12 +169,11 @@
     m_input.length = m_scenario.length;
     m_input.counts = &counts;
     m_input.servers = m_backends.Servers();
-    const uint64_t received =
-        Total(counts.Last(), &ServerCounts::received) -
-        Total(counts.At(Duration(0)), &ServerCounts::received);
+    const double received =
+        static_cast<double>(Total(counts.Last(), &ServerCounts::received)) -
+        counts.ReceivedAt(Duration(0));
     const double needed = LeastNeeded(m_options, m_requests, m_samples);
-    m_input.extra_load =
-        needed > 0 ? static_cast<double>(received) / needed : 0;
+    m_input.extra_load = needed > 0 ? received / needed : 0;
     for (const Bound& bound : m_scenario.bounds) {
       m_result.bounds.push_back({bound, Measure(bound, m_input)});
     }
