--- /dev/null
+++ b/programs/wasabihookctl/settings_commands.cc
@@ -0,0 +1,367 @@
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "decision/settings/settings_schema.h"
+#include "decision/settings/settings_text.h"
+#include "wasabihookctl/command.h"
+#include "wasabihookctl/store_session.h"
+
+namespace wasabihook::ctl {
+namespace {
+
+using nlohmann::ordered_json;
+using std::chrono::seconds;
+
+constexpr Duration kPutTimeout = seconds(20);
+constexpr Duration kWatchWait = seconds(30);
+
+struct StoreArguments {
+  explicit StoreArguments(TCLAP::CmdLine& line)
+      : platform("",
+                 "platform",
+                 "Address of the platform",
+                 true,
+                 "",
+                 "IP:PORT",
+                 line),
+        as_json("", "json", "Print JSON", line) {}
+
+  TCLAP::ValueArg<std::string> platform;
+  TCLAP::SwitchArg as_json;
+};
+
+TCLAP::ValueArg<std::string> SubtreeArgument(TCLAP::CmdLine& line) {
+  return {"",
+          "subtree",
+          "teams/<team> or fleet; by default the team that the file names",
+          false,
+          "",
+          "NAME",
+          line};
+}
+
+std::string SubtreeOf(const std::string& given, const std::string& text) {
+  return given.empty() ? GuessSubtree(text) : given;
+}
+
+ordered_json AsJson(const std::vector<SettingsProblem>& problems) {
+  auto list = ordered_json::array();
+  for (const auto& [path, line, value, allowed] : problems) {
+    list.push_back({{"path", path},
+                    {"line", line},
+                    {"value", value},
+                    {"allowed", allowed}});
+  }
+  return list;
+}
+
+ordered_json Optional(const std::optional<std::string>& value) {
+  return value ? ordered_json(*value) : ordered_json(nullptr);
+}
+
+std::string Shown(const std::optional<std::string>& value) {
+  return value.value_or("(absent)");
+}
+
+void PrintProblems(const std::vector<SettingsProblem>& problems) {
+  for (const SettingsProblem& problem : problems) {
+    std::cerr << ToString(problem) << "\n";
+  }
+}
+
+std::string NewChangeId() {
+  std::random_device device;
+  char text[32];
+  std::snprintf(text, sizeof(text), "ctl-%08x%08x", device(), device());
+  return text;
+}
+
+std::string ToString(SettingsWriteStatus status) {
+  switch (status) {
+    case SettingsWriteStatus::kWritten:
+      return "written";
+    case SettingsWriteStatus::kInvalid:
+      return "invalid";
+    case SettingsWriteStatus::kConflict:
+      return "conflict";
+    case SettingsWriteStatus::kUnavailable:
+      return "unavailable";
+    case SettingsWriteStatus::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+int ExitStatus(SettingsWriteStatus status) {
+  switch (status) {
+    case SettingsWriteStatus::kWritten:
+      return kExitOk;
+    case SettingsWriteStatus::kInvalid:
+      return kExitInvalid;
+    case SettingsWriteStatus::kConflict:
+      return kExitConflict;
+    case SettingsWriteStatus::kUnavailable:
+      return kExitUnavailable;
+    case SettingsWriteStatus::kUnknown:
+      return kExitUnknown;
+  }
+  return kExitUnknown;
+}
+
+ordered_json AsJson(const SettingsWrite& write,
+                    const SettingsWriteResult& result) {
+  auto conflicts = ordered_json::array();
+  for (const auto& [path, base, ours, theirs] : result.conflicts) {
+    conflicts.push_back({{"path", path},
+                         {"base", Optional(base)},
+                         {"ours", Optional(ours)},
+                         {"theirs", Optional(theirs)}});
+  }
+  ordered_json json = {{"status", ToString(result.status)},
+                       {"subtree", write.subtree},
+                       {"change_id", write.change_id},
+                       {"revision", result.revision.value()},
+                       {"found_applied", result.found_applied},
+                       {"merged", result.merged},
+                       {"problems", AsJson(result.problems)},
+                       {"conflicts", conflicts}};
+  if (result.current) {
+    json["current_revision"] = result.current->revision.value();
+  }
+  return json;
+}
+
+// Shows the changes of both sides since the common base.
+void PrintConflict(const SettingsWrite& write,
+                   const SettingsWriteResult& result) {
+  const uint64_t revision =
+      result.current ? result.current->revision.value() : 0;
+  std::cerr << "conflict: " << write.subtree << " is at revision " << revision
+            << ", not " << write.base_revision.value() << "\n";
+  const auto print = [&](const char* side, const std::string& text) {
+    try {
+      for (const auto& [path, before, after] :
+           DiffSettings(write.base_text, text)) {
+        std::cerr << "  " << side << " " << path << ": " << Shown(before)
+                  << " -> " << Shown(after) << "\n";
+      }
+    } catch (const InvalidSettings& error) {
+      std::cerr << "  " << side << " " << error.what() << "\n";
+    }
+  };
+  print("ours:  ", write.text);
+  print("theirs:", result.current ? result.current->value : "");
+  for (const SettingsConflict& conflict : result.conflicts) {
+    std::cerr << "  both touch " << conflict.path << "\n";
+  }
+}
+
+void PrintOutcome(const SettingsWrite& write,
+                  const SettingsWriteResult& result) {
+  switch (result.status) {
+    case SettingsWriteStatus::kWritten:
+      std::cout << write.subtree << " revision " << result.revision.value()
+                << " change " << write.change_id
+                << (result.merged ? " (merged)" : "") << "\n";
+      return;
+    case SettingsWriteStatus::kInvalid:
+      PrintProblems(result.problems);
+      return;
+    case SettingsWriteStatus::kConflict:
+      PrintConflict(write, result);
+      return;
+    case SettingsWriteStatus::kUnavailable:
+      std::cerr << "the store does not answer; nothing was written\n";
+      return;
+    case SettingsWriteStatus::kUnknown:
+      std::cerr << "unknown outcome; run again with --change-id "
+                << write.change_id << "\n";
+      return;
+  }
+}
+
+}  // namespace
+
+int SettingsCheck(Arguments arguments) {
+  TCLAP::CmdLine line("Checks a settings file and lists all problems", ' ',
+                      WASABIHOOK_VERSION);
+  line.setExceptionHandling(false);
+  TCLAP::UnlabeledValueArg<std::string> file("file", "TOML file, or -", true,
+                                             "", "FILE", line);
+  auto subtree = SubtreeArgument(line);
+  TCLAP::SwitchArg as_json("", "json", "Print JSON", line);
+  line.parse(arguments);
+  const std::string text = ReadText(file.getValue());
+  const std::string name = SubtreeOf(subtree.getValue(), text);
+  const auto problems = CheckSettings(name, text);
+  if (as_json.getValue()) {
+    const ordered_json json = {{"subtree", name},
+                               {"valid", problems.empty()},
+                               {"problems", AsJson(problems)}};
+    std::cout << json.dump(2) << "\n";
+  } else if (problems.empty()) {
+    std::cout << name << ": valid\n";
+  } else {
+    PrintProblems(problems);
+  }
+  return problems.empty() ? kExitOk : kExitInvalid;
+}
+
+int SettingsSchema(Arguments arguments) {
+  TCLAP::CmdLine line("Prints every key of the settings", ' ',
+                      WASABIHOOK_VERSION);
+  line.setExceptionHandling(false);
+  TCLAP::SwitchArg markdown("", "markdown", "Print Markdown (the default)",
+                            line);
+  TCLAP::SwitchArg as_json("", "json", "Print JSON", line);
+  line.parse(arguments);
+  std::cout << (as_json.getValue() ? SchemaAsJson() + "\n"
+                                   : SchemaAsMarkdown());
+  return kExitOk;
+}
+
+int SettingsGet(Arguments arguments) {
+  TCLAP::CmdLine line("Prints a subtree as TOML", ' ', WASABIHOOK_VERSION);
+  line.setExceptionHandling(false);
+  StoreArguments common(line);
+  TCLAP::UnlabeledValueArg<std::string> subtree(
+      "subtree", "teams/<team> or fleet", true, "", "SUBTREE", line);
+  line.parse(arguments);
+  const KeyValue entry =
+      StoreSession(common.platform.getValue()).Get(subtree.getValue());
+  if (common.as_json.getValue()) {
+    const ordered_json json = {{"subtree", subtree.getValue()},
+                               {"revision", entry.revision.value()},
+                               {"text", entry.value}};
+    std::cout << json.dump(2) << "\n";
+  } else {
+    std::cerr << "revision " << entry.revision.value() << "\n";
+    std::cout << entry.value;
+  }
+  return entry.revision == Revision(0) ? kExitInvalid : kExitOk;
+}
+
+int SettingsPut(Arguments arguments) {
+  TCLAP::CmdLine line("Writes a subtree by compare-and-swap", ' ',
+                      WASABIHOOK_VERSION);
+  line.setExceptionHandling(false);
+  StoreArguments common(line);
+  TCLAP::UnlabeledValueArg<std::string> file("file", "TOML file, or -", true,
+                                             "", "FILE", line);
+  auto subtree = SubtreeArgument(line);
+  TCLAP::ValueArg<std::string> base("", "base",
+                                    "File that the new one was edited from",
+                                    false, "", "FILE", line);
+  TCLAP::ValueArg<uint64_t> revision(
+      "", "base-revision",
+      "Revision that the file was edited from; by default the current one",
+      false, 0, "REVISION", line);
+  TCLAP::ValueArg<std::string> id(
+      "", "change-id", "Id of this change; repeat it to settle a lost response",
+      false, "", "ID", line);
+  TCLAP::SwitchArg merge("", "merge",
+                         "Merge with a change that touches other keys", line);
+  line.parse(arguments);
+  SettingsWrite write;
+  write.text = ReadText(file.getValue());
+  write.subtree = SubtreeOf(subtree.getValue(), write.text);
+  write.change_id = id.isSet() ? id.getValue() : NewChangeId();
+  write.merge = merge.getValue();
+  if (revision.isSet() != base.isSet()) {
+    throw std::invalid_argument("--base and --base-revision go together");
+  }
+  StoreSession session(common.platform.getValue());
+  if (revision.isSet()) {
+    write.base_revision = Revision(revision.getValue());
+    write.base_text = ReadText(base.getValue());
+  } else {
+    const KeyValue current = session.Get(write.subtree);
+    write.base_revision = current.revision;
+    write.base_text = current.value;
+  }
+  const SettingsWriteResult result = session.Put(write, kPutTimeout);
+  if (common.as_json.getValue()) {
+    std::cout << AsJson(write, result).dump(2) << "\n";
+  } else {
+    PrintOutcome(write, result);
+  }
+  return ExitStatus(result.status);
+}
+
+int SettingsDiff(Arguments arguments) {
+  TCLAP::CmdLine line("Compares the stored value with a file", ' ',
+                      WASABIHOOK_VERSION);
+  line.setExceptionHandling(false);
+  StoreArguments common(line);
+  TCLAP::UnlabeledValueArg<std::string> file("file", "TOML file, or -", true,
+                                             "", "FILE", line);
+  auto subtree = SubtreeArgument(line);
+  line.parse(arguments);
+  const std::string text = ReadText(file.getValue());
+  const std::string name = SubtreeOf(subtree.getValue(), text);
+  const KeyValue stored = StoreSession(common.platform.getValue()).Get(name);
+  auto list = ordered_json::array();
+  for (const auto& [path, before, after] : DiffSettings(stored.value, text)) {
+    list.push_back({{"path", path},
+                    {"stored", Optional(before)},
+                    {"file", Optional(after)}});
+    if (!common.as_json.getValue()) {
+      std::cout << path << ": " << Shown(before) << " -> " << Shown(after)
+                << "\n";
+    }
+  }
+  if (common.as_json.getValue()) {
+    const ordered_json json = {{"subtree", name},
+                               {"revision", stored.revision.value()},
+                               {"differences", list}};
+    std::cout << json.dump(2) << "\n";
+  }
+  return kExitOk;
+}
+
+int SettingsWatch(Arguments arguments) {
+  TCLAP::CmdLine line("Prints changes until it is interrupted", ' ',
+                      WASABIHOOK_VERSION);
+  line.setExceptionHandling(false);
+  StoreArguments common(line);
+  TCLAP::ValueArg<uint32_t> count("", "count", "End after this many changes",
+                                  false, 0, "COUNT", line);
+  line.parse(arguments);
+  StoreSession session(common.platform.getValue());
+  ListResult list = session.List(std::nullopt, Duration(0));
+  Revision seen = list.store_revision;
+  uint32_t printed = 0;
+  while (true) {
+    list = session.List(seen, kWatchWait);
+    for (const KeyValue& entry : list.entries) {
+      if (entry.revision <= seen) {
+        continue;
+      }
+      const std::string name = entry.key.substr(kSettingsKeyPrefix.size());
+      const bool valid = CheckSettings(name, entry.value).empty();
+      const ordered_json json = {{"subtree", name},
+                                 {"revision", entry.revision.value()},
+                                 {"valid", valid},
+                                 {"change_ids", ReadChangeIds(entry.value)}};
+      if (common.as_json.getValue()) {
+        std::cout << json.dump() << std::endl;
+      } else {
+        std::cout << name << " revision " << entry.revision.value()
+                  << (valid ? "" : " (invalid)") << std::endl;
+      }
+      if (++printed == count.getValue()) {
+        return kExitOk;
+      }
+    }
+    seen = std::max(seen, list.store_revision);
+  }
+}
+
+}  // namespace wasabihook::ctl
--- a/src/decision/settings/settings_text.cc
+++ b/src/decision/settings/settings_text.cc
@@ -223,4 +223,16 @@
   return Write(table);
 }
 
+std::string GuessSubtree(std::string_view text) {
+  try {
+    const toml::table table = Parse(text);
+    if (const auto* name = table["team"]["name"].as_string()) {
+      return std::string(kTeamSubtreePrefix) + name->get();
+    }
+  } catch (const InvalidSettings&) {
+    // The check of the text reports what is wrong with it.
+  }
+  return std::string(kFleetSubtree);
+}
+
 }  // namespace wasabihook
--- a/src/decision/settings/settings_text.h
+++ b/src/decision/settings/settings_text.h
@@ -42,6 +42,9 @@
 // `text` with the list of change ids replaced.
 std::string WithChangeIds(std::string_view text,
                           const std::vector<std::string>& ids);
+// Subtree that a file is meant for: "teams/<name>" if it names a team,
+// otherwise "fleet".
+std::string GuessSubtree(std::string_view text);
 
 }  // namespace wasabihook
 
