--- a/bench/capacity_benchmark.cc
+++ b/bench/capacity_benchmark.cc
@@ -104,7 +104,7 @@
 };
 
 // One search over N shard groups through the whole decision logic.
-void BM_Search(benchmark::State& state) {
+void BmSearch(benchmark::State& state) {
   ManualTimerService timers;
   testing::FakeSettings settings;
   TeamSettings team;
@@ -150,10 +150,10 @@
     state.SkipWithError("not every search was answered in full");
   }
 }
-BENCHMARK(BM_Search)->Arg(10)->Arg(100)->Arg(470);
+BENCHMARK(BmSearch)->Arg(10)->Arg(100)->Arg(470);
 
 // Choice and release of one server, in a table of N servers.
-void BM_ServerTable(benchmark::State& state) {
+void BmServerTable(benchmark::State& state) {
   const auto count = static_cast<size_t>(state.range(0));
   const auto snapshot = MakeSnapshot(count / 2, 2);
   ManualTimerService timers;
@@ -179,7 +179,7 @@
     use(snapshot->groups[next++ % snapshot->groups.size()], {});
   }
 }
-BENCHMARK(BM_ServerTable)->Arg(1000)->Arg(20000);
+BENCHMARK(BmServerTable)->Arg(1000)->Arg(20000);
 
 SubRequest MakeSubRequest() {
   SubRequest request;
@@ -201,7 +201,7 @@
 }
 
 // Wire size without the header lines that libcurl and the server add.
-void BM_BackendEncode(benchmark::State& state) {
+void BmBackendEncode(benchmark::State& state) {
   const SubRequest request = MakeSubRequest();
   size_t bytes = 0;
   for (auto _ : state) {
@@ -214,9 +214,9 @@
   }
   state.counters["bytes_wire"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_BackendEncode);
+BENCHMARK(BmBackendEncode);
 
-void BM_BackendDecode(benchmark::State& state) {
+void BmBackendDecode(benchmark::State& state) {
   const SubRequest request = MakeSubRequest();
   const std::string body =
       R"({"request_id":"i1-7f3a-000123-42-1","index_version":7,)"
@@ -243,7 +243,7 @@
   }
   state.counters["bytes_wire"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_BackendDecode);
+BENCHMARK(BmBackendDecode);
 
 // TOML of a team with N servers in groups of two.
 std::string TeamText(size_t servers) {
@@ -260,7 +260,7 @@
 }
 
 // One change of a team's subtree that lists N servers.
-void BM_SettingsOffer(benchmark::State& state) {
+void BmSettingsOffer(benchmark::State& state) {
   const std::string text = TeamText(static_cast<size_t>(state.range(0)));
   ManualTimerService timers;
   const double before = HeapBytes();
@@ -279,7 +279,7 @@
     offer();
   }
 }
-BENCHMARK(BM_SettingsOffer)->Arg(100)->Arg(1000);
+BENCHMARK(BmSettingsOffer)->Arg(100)->Arg(1000);
 
 PeerIdentity Self() {
   return {InstanceId("instance-0001"), Incarnation(0x7f3a12345678),
@@ -300,7 +300,7 @@
   return text.size();
 }
 
-void BM_DigestRequest(benchmark::State& state) {
+void BmDigestRequest(benchmark::State& state) {
   const PeerRequest request =
       DigestRequest{Self(), 1, Revision(2), false, {}, {}};
   size_t bytes = 0;
@@ -311,10 +311,10 @@
   }
   state.counters["bytes_wire"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_DigestRequest);
+BENCHMARK(BmDigestRequest);
 
 // Response that lists N subtrees because the settings differ; 0: equal.
-void BM_DigestResponse(benchmark::State& state) {
+void BmDigestResponse(benchmark::State& state) {
   DigestResponse response{Self(), {}};
   for (int64_t i = 0; i < state.range(0); ++i) {
     response.revisions.push_back(
@@ -329,7 +329,7 @@
   }
   state.counters["bytes_wire"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_DigestResponse)->Arg(0)->Arg(100);
+BENCHMARK(BmDigestResponse)->Arg(0)->Arg(100);
 
 RequestOutcome DrawOutcome(const RandomSource& random) {
   RequestOutcome outcome;
@@ -343,7 +343,7 @@
   return outcome;
 }
 
-void BM_BurnRecord(benchmark::State& state) {
+void BmBurnRecord(benchmark::State& state) {
   ManualTimerService timers;
   testing::FakeSettings settings;
   TeamSettings team;
@@ -355,7 +355,7 @@
     counters.Record(outcome);
   }
 }
-BENCHMARK(BM_BurnRecord);
+BENCHMARK(BmBurnRecord);
 
 // One minute of N teams at one instance.
 BurnBucket MakeBucket(int64_t teams, uint64_t sequence, int64_t minute) {
@@ -372,7 +372,7 @@
 }
 
 // Response of one peer with one minute of N teams, in the peer encoding.
-void BM_BurnResponse(benchmark::State& state) {
+void BmBurnResponse(benchmark::State& state) {
   const double before = HeapBytes();
   const PeerResponse response =
       BurnCountsResponse{Self(), {MakeBucket(state.range(0), 1, 100)}};
@@ -385,9 +385,9 @@
   }
   state.counters["bytes_wire"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_BurnResponse)->Arg(1)->Arg(10);
+BENCHMARK(BmBurnResponse)->Arg(1)->Arg(10);
 
-void BM_BurnFold(benchmark::State& state) {
+void BmBurnFold(benchmark::State& state) {
   BurnLedger ledger;
   const BurnSource source{InstanceId("i"), Incarnation(1)};
   BurnBucket bucket = MakeBucket(10, 1, 100);
@@ -396,12 +396,12 @@
     ++bucket.sequence;
   }
 }
-BENCHMARK(BM_BurnFold);
+BENCHMARK(BmBurnFold);
 
 // Stored value after three days of N teams, with M instances.
 BurnLedger MakeLedger(int64_t teams, int64_t instances) {
   constexpr int64_t kStart = 28'000'000;
-  constexpr int64_t kMinutes = 3 * 24 * 60;
+  constexpr int64_t kMinutes = int64_t{3} * 24 * 60;
   BurnLedger ledger;
   for (int64_t minute = 0; minute < kMinutes; ++minute) {
     const auto sequence = static_cast<uint64_t>(minute + 1);
@@ -420,7 +420,7 @@
   return ledger;
 }
 
-void BM_BurnLedgerEncode(benchmark::State& state) {
+void BmBurnLedgerEncode(benchmark::State& state) {
   const BurnLedger ledger = MakeLedger(state.range(0), state.range(1));
   size_t bytes = 0;
   for (auto _ : state) {
@@ -428,7 +428,7 @@
   }
   state.counters["bytes_wire"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_BurnLedgerEncode)
+BENCHMARK(BmBurnLedgerEncode)
     ->Args({1, 1})
     ->Args({3, 1})
     ->Args({1, 451})
@@ -470,7 +470,7 @@
 };
 
 // Claim and outcome of one operation; the removal comes on top.
-void BM_Claim(benchmark::State& state) {
+void BmClaim(benchmark::State& state) {
   ManualTimerService timers;
   ReadyStore store;
   KeyValueClaimStore claims({&timers,
@@ -503,10 +503,10 @@
       static_cast<double>(store.m_bytes) / operations;
   state.counters["writes"] = static_cast<double>(store.m_writes) / operations;
 }
-BENCHMARK(BM_Claim);
+BENCHMARK(BmClaim);
 
 // Choice of the owner of one key among N instances.
-void BM_Rendezvous(benchmark::State& state) {
+void BmRendezvous(benchmark::State& state) {
   std::vector<std::string> names;
   for (int64_t i = 0; i < state.range(0); ++i) {
     names.push_back("instance-" + std::to_string(i));
@@ -515,7 +515,7 @@
     benchmark::DoNotOptimize(RendezvousTopK("10.0.0.1:8080", names, 1));
   }
 }
-BENCHMARK(BM_Rendezvous)->Arg(450);
+BENCHMARK(BmRendezvous)->Arg(450);
 
 }  // namespace
 }  // namespace wasabihook
--- a/examples/burn_report.cc
+++ b/examples/burn_report.cc
@@ -17,7 +17,7 @@
 using namespace wasabihook;  // NOLINT(google-build-using-namespace)
 
 constexpr int64_t kEndMinute = 29'680'000;
-constexpr int64_t kMinutes = 3 * 24 * 60;
+constexpr int64_t kMinutes = int64_t{3} * 24 * 60;
 constexpr int kRequestsPerMinute = 60;
 
 RequestOutcome Draw(std::mt19937_64& random, int64_t age) {
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -61,41 +61,41 @@
 
     s = {}
     s["subquery_ns"], s["query_ns"] = slope(
-        benchmarks, "BM_Search", 10, 470, "cpu_time")
-    s["server_choice_ns"] = cost("BM_ServerTable/20000")
-    s["server_memory"] = cost("BM_ServerTable/20000", "bytes_memory")
-    s["encode_ns"] = cost("BM_BackendEncode")
-    s["encode_bytes"] = cost("BM_BackendEncode", "bytes_wire")
-    s["decode_ns"] = cost("BM_BackendDecode")
-    s["decode_bytes"] = cost("BM_BackendDecode", "bytes_wire")
+        benchmarks, "BmSearch", 10, 470, "cpu_time")
+    s["server_choice_ns"] = cost("BmServerTable/20000")
+    s["server_memory"] = cost("BmServerTable/20000", "bytes_memory")
+    s["encode_ns"] = cost("BmBackendEncode")
+    s["encode_bytes"] = cost("BmBackendEncode", "bytes_wire")
+    s["decode_ns"] = cost("BmBackendDecode")
+    s["decode_bytes"] = cost("BmBackendDecode", "bytes_wire")
     for field, name in (("cpu_time", "ns"), ("bytes_wire", "bytes"),
                         ("bytes_memory", "memory")):
-        per_item, fixed = slope(benchmarks, "BM_SettingsOffer", 100, 1000, field)
+        per_item, fixed = slope(benchmarks, "BmSettingsOffer", 100, 1000, field)
         s[f"setting_server_{name}"], s[f"setting_fixed_{name}"] = per_item, fixed
-    s["digest_ns"] = cost("BM_DigestRequest")
-    s["digest_bytes"] = cost("BM_DigestRequest", "bytes_wire")
-    s["digest_reply_ns"] = cost("BM_DigestResponse/0")
-    s["digest_reply_bytes"] = cost("BM_DigestResponse/0", "bytes_wire")
+    s["digest_ns"] = cost("BmDigestRequest")
+    s["digest_bytes"] = cost("BmDigestRequest", "bytes_wire")
+    s["digest_reply_ns"] = cost("BmDigestResponse/0")
+    s["digest_reply_bytes"] = cost("BmDigestResponse/0", "bytes_wire")
     s["subtree_bytes"], _ = slope(
-        benchmarks, "BM_DigestResponse", 0, 100, "bytes_wire")
-    s["claim_ns"] = cost("BM_Claim")
-    s["claim_bytes"] = cost("BM_Claim", "bytes_wire")
-    s["claim_writes"] = cost("BM_Claim", "writes")
-    s["burn_record_ns"] = cost("BM_BurnRecord")
+        benchmarks, "BmDigestResponse", 0, 100, "bytes_wire")
+    s["claim_ns"] = cost("BmClaim")
+    s["claim_bytes"] = cost("BmClaim", "bytes_wire")
+    s["claim_writes"] = cost("BmClaim", "writes")
+    s["burn_record_ns"] = cost("BmBurnRecord")
     s["burn_team_bytes"], s["burn_reply_bytes"] = slope(
-        benchmarks, "BM_BurnResponse", 1, 10, "bytes_wire")
-    s["burn_team_ns"], _ = slope(benchmarks, "BM_BurnResponse", 1, 10, "cpu_time")
+        benchmarks, "BmBurnResponse", 1, 10, "bytes_wire")
+    s["burn_team_ns"], _ = slope(benchmarks, "BmBurnResponse", 1, 10, "cpu_time")
     s["burn_team_memory"], _ = slope(
-        benchmarks, "BM_BurnResponse", 1, 10, "bytes_memory")
-    s["burn_fold_team_ns"] = cost("BM_BurnFold") / 10
-    one = cost("BM_BurnLedgerEncode/1/1", "bytes_wire")
+        benchmarks, "BmBurnResponse", 1, 10, "bytes_memory")
+    s["burn_fold_team_ns"] = cost("BmBurnFold") / 10
+    one = cost("BmBurnLedgerEncode/1/1", "bytes_wire")
     s["ledger_team_bytes"] = (
-        cost("BM_BurnLedgerEncode/3/1", "bytes_wire") - one) / 2
+        cost("BmBurnLedgerEncode/3/1", "bytes_wire") - one) / 2
     s["watermark_bytes"] = (
-        cost("BM_BurnLedgerEncode/1/451", "bytes_wire") - one) / 450
-    s["ledger_byte_ns"] = cost("BM_BurnLedgerEncode/3/1") / cost(
-        "BM_BurnLedgerEncode/3/1", "bytes_wire")
-    s["rendezvous_ns"] = cost("BM_Rendezvous/450") / 450
+        cost("BmBurnLedgerEncode/1/451", "bytes_wire") - one) / 450
+    s["ledger_byte_ns"] = cost("BmBurnLedgerEncode/3/1") / cost(
+        "BmBurnLedgerEncode/3/1", "bytes_wire")
+    s["rendezvous_ns"] = cost("BmRendezvous/450") / 450
     return {
         "command": "make capacity",
         "date": context["date"],
--- a/src/decision/burn/report_plot.cc
+++ b/src/decision/burn/report_plot.cc
@@ -85,8 +85,8 @@
                    EscapeHtml(plot.unit));
   }
   const int64_t length = plot.until_minute - plot.from_minute;
-  const bool is_long = length > 24 * 60;
-  const int64_t step = is_long ? 12 * 60 : 60;
+  const bool is_long = length > int64_t{24} * 60;
+  const int64_t step = is_long ? 720 : 60;
   // Every second label of the long plot would overlap the next one.
   const int64_t label_step = is_long ? 2 * step : step;
   for (int64_t minute = (plot.from_minute / step + 1) * step;
--- a/tests/burn_report_test.cc
+++ b/tests/burn_report_test.cc
@@ -15,13 +15,14 @@
 using std::chrono::minutes;
 
 constexpr int64_t kNow = 29'680'000;  // Minutes since the Unix epoch.
+constexpr int64_t kMinutes = int64_t{3} * 24 * 60;
 
 // Counts of one team with `late` of 1,000 requests late in each of the last
 // `bad_minutes` and none before.
 BurnLedger LedgerWith(uint64_t late, int64_t bad_minutes) {
   BurnLedger ledger;
   TeamLedger& team = ledger.teams[TeamId("clerks")];
-  for (int64_t age = 1; age <= 3 * 24 * 60; ++age) {
+  for (int64_t age = 1; age <= kMinutes; ++age) {
     BurnCell cell;
     cell.requests = 1000;
     if (age <= bad_minutes) {
@@ -77,11 +78,11 @@
 
 // Guards against slow burn that no one hears of.
 TEST(BurnReportTest, TicketsOnSlowBurn) {
-  const TeamReport slow = ReportOf(LedgerWith(11, 3 * 24 * 60));
+  const TeamReport slow = ReportOf(LedgerWith(11, kMinutes));
   EXPECT_TRUE(HasAlert(slow, AlertLevel::kTicket));
   EXPECT_FALSE(HasAlert(slow, AlertLevel::kPage));
   EXPECT_LT(slow.latency_budget_left, 0);
-  EXPECT_TRUE(ReportOf(LedgerWith(9, 3 * 24 * 60)).alerts.empty());
+  EXPECT_TRUE(ReportOf(LedgerWith(9, kMinutes)).alerts.empty());
 }
 
 // Guards against a division by zero for a team without requests and for a
