--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -73,6 +73,10 @@
 inline constexpr Duration kCapacityRetryDelay = milliseconds(5);
 // Sub-requests that may wait for one server; more only poll.
 inline constexpr size_t kMaxCapacityWaiters = 1024;
+// How long a sub-query without a retry token waits for one. Tokens come with
+// new requests only, so sub-queries that waited until their deadline would hold
+// the places in admission that new requests need.
+inline constexpr Duration kRetryTokenWait = milliseconds(100);
 // How often and how long a query looks for a newer snapshot when no replica of
 // a group serves the pinned one.
 inline constexpr Duration kSnapshotPollDelay = milliseconds(5);
@@ -112,6 +116,8 @@
 inline constexpr Duration kMinLatencyEstimate = std::chrono::microseconds(100);
 // Weight of load that a server reports against load that this instance knows.
 inline constexpr double kLoadHintWeight = 0.3;
+// Below 1, so that no report outweighs a sub-request of this instance.
+inline constexpr double kMaxHintedLoad = 0.9;
 // Time in which the weight of a reported load halves.
 inline constexpr Duration kLoadHintHalfLife = milliseconds(50);
 // Servers that no snapshot has listed for this time are forgotten.
@@ -171,6 +177,11 @@
 inline constexpr Duration kClaimRetention = hours(24);
 inline constexpr Duration kClockMargin = minutes(5);
 inline constexpr Duration kQuarantineExpiry = minutes(10);
+inline constexpr Duration kMaxQuarantineExpiry = hours(1);
+// Reports of one server within this time are one crash.
+inline constexpr Duration kCrashMergeWindow = seconds(1);
+// Bodies that evidence is kept of.
+inline constexpr size_t kMaxSuspectBodies = 16'384;
 // Delay before an unclear claim write is read back again.
 inline constexpr Duration kClaimRetryBaseDelay = milliseconds(5);
 inline constexpr Duration kClaimRetryMaxDelay = milliseconds(100);
@@ -223,8 +234,49 @@
 // --- Settings spread and membership ---
 inline constexpr uint32_t kWatchersPerDataCentre = 2;
 inline constexpr Duration kDigestPeriod = milliseconds(500);
-inline constexpr Duration kWatchTimeout = seconds(30);
+// Bounds how long a connection that went silent hides a change; the bound of
+// propagation is 5 s.
+inline constexpr Duration kWatchTimeout = seconds(2);
+// Added to kWatchTimeout before an unanswered watch is given up.
+inline constexpr Duration kWatchGrace = seconds(1);
+// Least time between two watches of one instance, so that a burst of changes
+// is read in one response.
+inline constexpr Duration kMinWatchGap = milliseconds(200);
+// Short, because a change that is accepted just after an outage must be seen
+// within the bound of propagation.
+inline constexpr Duration kWatchMaxBackoff = milliseconds(1500);
+inline constexpr Duration kPlatformBackoff = milliseconds(200);
+inline constexpr Duration kPlatformMaxBackoff = seconds(10);
+// Peers told at once of a newer value, and the time for which further news is
+// gathered first.
+inline constexpr uint32_t kNewsFanout = 3;
+inline constexpr Duration kNewsDelay = milliseconds(20);
+// One in this many digest responses lists all revisions, though the sender only
+// needs the newer ones; repairs a gap below the greatest revision.
+inline constexpr uint32_t kFullListPeriod = 8;
+// Entries of each kind of notice in one digest.
+inline constexpr size_t kMaxPeerNotices = 64;
+// One in this many digest rounds calls a suspect instance, so that instances
+// that suspect each other find out when contact returns.
+inline constexpr uint32_t kSuspectProbePeriod = 4;
 inline constexpr Duration kInstanceListPeriod = seconds(1);
+// Bounds the traffic of reading the list: the period grows with the number of
+// instances, each of which takes this many bytes.
+inline constexpr size_t kInstanceListBytesPerSecond = 8192;
+inline constexpr size_t kListedInstanceBytes = 128;
+// Time between two announcements of one instance, and the announcements of all
+// instances together per second, whichever is slower.
+inline constexpr Duration kAnnouncePeriod = seconds(5);
+inline constexpr double kAnnouncementsPerSecond = 100.0;
+// Failed calls after which an instance is suspect.
+inline constexpr uint32_t kSuspectFailures = 2;
+// The list does not overrule direct contact that is younger than this.
+inline constexpr Duration kDirectEvidence = seconds(10);
+// Lists that lack an instance before it is gone.
+inline constexpr uint32_t kMissingLists = 3;
+// Time after which a suspect that no recent list shows is gone.
+inline constexpr Duration kSuspectExpiry = seconds(30);
+inline constexpr size_t kMaxReplacedInstances = 4096;
 // Platform calls for settings and membership, per data centre and second.
 inline constexpr uint32_t kPlatformCallsPerSecond = 100;
 inline constexpr uint32_t kRememberedChangeIds = 16;
