Refuse queued requests early under sustained overload

Ruled out: queue length, which was far below its bound. Change: a request waits at most 100 ms, and at most 15 ms while the queue is standing or has refused a request for its wait within the last 100 ms; an arrival whose estimated wait is longer is refused at once.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -105,8 +105,10 @@
 // Latency over the pool's baseline from which its limit shrinks.
 inline constexpr double kAdmissionLatencyFactor = 2.0;
 // A queue whose oldest request has waited longer than the target for a whole
-// interval serves the newest request first.
-inline constexpr Duration kQueueTarget = milliseconds(10);
+// interval serves the newest request first and refuses what waits longer than
+// the target, so that a refusal under overload takes less than 20 ms. A request
+// never waits longer than the interval.
+inline constexpr Duration kQueueTarget = milliseconds(15);
 inline constexpr Duration kQueueInterval = milliseconds(100);
 
 // --- Replica choice ---
--- a/src/decision/routing/admission_controller.cc
+++ b/src/decision/routing/admission_controller.cc
@@ -84,20 +84,22 @@
                 const TeamId& team,
                 const AdmissionPool::Queued& queued,
                 TimePoint now) {
-    m_timers->SubscribeOnce(
-        queued.latest_start - now,
-        [weak = std::weak_ptr(pool), team, ticket = queued.ticket] {
-          LockedPoolPtr pool = weak.lock();
-          if (pool == nullptr) {
-            return;
-          }
-          AdmissionDecisions decisions;
-          {
-            std::lock_guard lock(pool->mutex);
-            pool->pool.Expire(team, ticket, &decisions);
-          }
-          Report(decisions);
-        });
+    m_timers->SubscribeOnce(queued.latest_start - now,
+                            [timers = m_timers, weak = std::weak_ptr(pool),
+                             team, ticket = queued.ticket] {
+                              LockedPoolPtr pool = weak.lock();
+                              if (pool == nullptr) {
+                                return;
+                              }
+                              const TimePoint now = timers->Now();
+                              AdmissionDecisions decisions;
+                              {
+                                std::lock_guard lock(pool->mutex);
+                                pool->pool.Expire(team, ticket, now,
+                                                  &decisions);
+                              }
+                              Report(decisions);
+                            });
   }
 
   TimerService* m_timers;
--- a/src/decision/routing/admission_pool.cc
+++ b/src/decision/routing/admission_pool.cc
@@ -51,12 +51,21 @@
     decisions->push_back({std::move(done), AdmissionResult::kAdmitted});
     return std::nullopt;
   }
-  if (EstimatedWait(team, now) + service > left) {
+  const Duration wait = EstimatedWait(team, now);
+  if (wait + service > left) {
     decisions->push_back({std::move(done), AdmissionResult::kDeadlineTooShort});
     return std::nullopt;
   }
+  const bool standing = IsStanding(team, now);
+  const Duration max_wait =
+      standing ? config::kQueueTarget : config::kQueueInterval;
+  if (wait > max_wait) {
+    team.last_wait_refusal = now;
+    decisions->push_back({std::move(done), AdmissionResult::kQueueFull});
+    return std::nullopt;
+  }
   if (team.queue.size() >= request.max_queued) {
-    if (request.max_queued == 0 || !IsStanding(team, now)) {
+    if (request.max_queued == 0 || !standing) {
       decisions->push_back({std::move(done), AdmissionResult::kQueueFull});
       return std::nullopt;
     }
@@ -66,8 +75,14 @@
     team.queue.pop_front();
   }
   const uint64_t ticket = m_next_ticket++;
-  team.queue.push_back({ticket, now, request.deadline, std::move(done)});
-  return Queued{ticket, request.deadline - service};
+  const TimePoint latest_start = request.deadline - service;
+  const TimePoint latest_wait = now + max_wait;
+  const AdmissionResult refusal = latest_start <= latest_wait
+                                      ? AdmissionResult::kDeadlineTooShort
+                                      : AdmissionResult::kQueueFull;
+  team.queue.push_back(
+      {ticket, now, request.deadline, refusal, std::move(done)});
+  return Queued{ticket, std::min(latest_start, latest_wait)};
 }
 
 Duration AdmissionPool::EstimatedWait(const Team& team, TimePoint now) const {
@@ -86,6 +101,10 @@
 }
 
 bool AdmissionPool::IsStanding(const Team& team, TimePoint now) const {
+  if (team.last_wait_refusal &&
+      now - *team.last_wait_refusal <= config::kQueueInterval) {
+    return true;
+  }
   return !team.queue.empty() &&
          now - team.last_short_wait > config::kQueueInterval;
 }
@@ -189,20 +208,24 @@
 
 void AdmissionPool::Expire(const TeamId& id,
                            uint64_t ticket,
+                           TimePoint now,
                            AdmissionDecisions* decisions) {
   auto it = m_teams.find(id);
   if (it == m_teams.end()) {
     return;
   }
-  std::deque<Waiting>& queue = it->second.queue;
+  Team& team = it->second;
+  std::deque<Waiting>& queue = team.queue;
   auto waiting = std::find_if(
       queue.begin(), queue.end(),
       [ticket](const Waiting& entry) { return entry.ticket == ticket; });
   if (waiting == queue.end()) {
     return;
   }
-  decisions->push_back(
-      {std::move(waiting->done), AdmissionResult::kDeadlineTooShort});
+  if (waiting->refusal == AdmissionResult::kQueueFull) {
+    team.last_wait_refusal = now;
+  }
+  decisions->push_back({std::move(waiting->done), waiting->refusal});
   queue.erase(waiting);
 }
 
--- a/src/decision/routing/admission_pool.h
+++ b/src/decision/routing/admission_pool.h
@@ -29,7 +29,8 @@
   // Result of Request(): set if the request was queued.
   struct Queued {
     uint64_t ticket = 0;
-    // Latest time at which the request can start and still finish in time.
+    // The request is refused if it has not started by then: it could no longer
+    // finish in time, or it has waited for longer than the queue may hold it.
     TimePoint latest_start;
   };
 
@@ -48,6 +49,7 @@
   // Refuses the queued request `ticket` if it still waits.
   void Expire(const TeamId& team,
               uint64_t ticket,
+              TimePoint now,
               AdmissionDecisions* decisions);
 
   uint32_t running() const { return m_running; }
@@ -58,6 +60,8 @@
     uint64_t ticket = 0;
     TimePoint since;
     TimePoint deadline;
+    // Result if the request does not start in time.
+    AdmissionResult refusal = AdmissionResult::kQueueFull;
     AdmissionController::Callback done;
   };
   struct Team {
@@ -70,6 +74,9 @@
     double charged = 0;
     // Last time at which the oldest request had waited less than the target.
     TimePoint last_short_wait;
+    // Last refusal for a wait above the limit; the queue counts as standing for
+    // an interval after it, so that later refusals come within the target.
+    std::optional<TimePoint> last_wait_refusal;
   };
 
   Team& Activate(const AdmissionRequest& request, TimePoint now);
