--- a/src/decision/routing/drain_mark.cc
+++ b/src/decision/routing/drain_mark.cc
@@ -7,13 +7,27 @@
 namespace wasabihook {
 
 void DrainMark::Set(DrainSource source, TimePoint now) {
-  const TimePoint until =
-      now + (source == DrainSource::kPeer ? Duration(config::kPeerDrainMark)
-                                          : Duration(config::kDrainMark));
+  if (source != DrainSource::kPeer) {
+    m_source = source;
+    Extend(now + Duration(config::kDrainMark));
+    return;
+  }
+  if (!m_last_peer_report ||
+      now - *m_last_peer_report > 2 * Duration(config::kPeerDrainMark)) {
+    m_first_peer_report = now;
+  }
+  m_last_peer_report = now;
+  if (now - m_first_peer_report > config::kDrainMark) {
+    return;
+  }
   // A peer's mark neither shortens nor takes over one learned at first hand.
-  if (!IsDraining(now) || source != DrainSource::kPeer) {
+  if (!IsDraining(now)) {
     m_source = source;
   }
+  Extend(now + Duration(config::kPeerDrainMark));
+}
+
+void DrainMark::Extend(TimePoint until) {
   m_until = m_until ? std::max(*m_until, until) : until;
   m_was_draining = true;
 }
--- a/src/decision/routing/drain_mark.h
+++ b/src/decision/routing/drain_mark.h
@@ -13,6 +13,9 @@
 // ever. Not thread-safe.
 class DrainMark {
  public:
+  // Reports of peers count for as long as one mark lasts; after that they are
+  // ignored until they stop. Peers that only repeat each other thus fall
+  // silent.
   void Set(DrainSource source, TimePoint now);
   // The server reported in an otherwise good reply whether it drains. Such
   // reports may be wrong, so a draining server stays a last resort.
@@ -30,8 +33,12 @@
   std::optional<DrainSource> Source(TimePoint now) const;
 
  private:
+  void Extend(TimePoint until);
+
   std::optional<TimePoint> m_until;
   std::optional<TimePoint> m_hint_until;
+  TimePoint m_first_peer_report;
+  std::optional<TimePoint> m_last_peer_report;
   DrainSource m_source = DrainSource::kServer;
   bool m_was_draining = false;
 };
--- a/tests/server_table_test.cc
+++ b/tests/server_table_test.cc
@@ -329,6 +329,30 @@
   EXPECT_TRUE(Status(ServerId("a")).slow_start);
 }
 
+// Guards against instances that keep a drain mark alive for ever by telling
+// each other about it.
+TEST_F(ServerTableTest, PeersThatRepeatEachOtherFallSilent) {
+  const ShardGroup group = Group({"a"});
+  auto other = ServerTable::Create(&m_timers, MakeRandomSource(2));
+  const auto is_draining = [](const ServerTable& table) {
+    const std::vector<ServerStatus> status = table.Status();
+    return !status.empty() && status.front().draining;
+  };
+  m_table->MarkDraining(ServerId("a"), DrainSource::kServer);
+  for (int i = 0; i < 400; ++i) {
+    if (is_draining(*m_table)) {
+      other->MarkDraining(ServerId("a"), DrainSource::kPeer);
+    }
+    if (is_draining(*other)) {
+      m_table->MarkDraining(ServerId("a"), DrainSource::kPeer);
+    }
+    m_timers.Advance(milliseconds(500));
+  }
+  EXPECT_FALSE(is_draining(*m_table) || is_draining(*other));
+  other->MarkDraining(ServerId("a"), DrainSource::kPeer);
+  EXPECT_TRUE(is_draining(*other)) << "a later drain is reported again";
+}
+
 // Guards against a misleading report of all servers that darkens a group.
 TEST_F(ServerTableTest, ReportedDrainOfServingServerIsLastResort) {
   const ShardGroup group = Group({"a", "b"});
