--- a/src/decision/query/query.cc
+++ b/src/decision/query/query.cc
@@ -61,9 +61,10 @@
 
 void Query::FanOut(TimePoint now, Actions& actions) {
   m_fanned_out = true;
+  const std::vector<ServerStatus> status = StatusIfSuspect();
   while (m_next_unsent < m_parts.size()) {
     const size_t index = m_next_unsent++;
-    if (MustSpare(index)) {
+    if (MustSpare(index, status)) {
       SparePart(index);
     } else {
       NextAttempt(index, now, actions);
@@ -72,9 +73,10 @@
 }
 
 void Query::StartNextCanary(TimePoint now, Actions& actions) {
+  const std::vector<ServerStatus> status = StatusIfSuspect();
   while (m_next_unsent < m_parts.size()) {
     const size_t index = m_next_unsent++;
-    if (!MustSpare(index)) {
+    if (!MustSpare(index, status)) {
       NextAttempt(index, now, actions);
       return;
     }
@@ -82,14 +84,19 @@
   }
 }
 
-bool Query::MustSpare(size_t index) const {
+std::vector<ServerStatus> Query::StatusIfSuspect() const {
+  return m_suspect ? m_context->deps.servers->Status()
+                   : std::vector<ServerStatus>();
+}
+
+bool Query::MustSpare(size_t index,
+                      const std::vector<ServerStatus>& status) const {
   if (!m_suspect) {
     return false;
   }
   // A sub-request without an answer may have crashed its server.
   return m_evidence.state() == RunState::kUnknown ||
-         !HasSpareServer(GroupOf(m_parts[index]),
-                         m_context->deps.servers->Status());
+         !HasSpareServer(GroupOf(m_parts[index]), status);
 }
 
 void Query::SparePart(size_t index) {
--- a/src/decision/query/query.h
+++ b/src/decision/query/query.h
@@ -50,8 +50,11 @@
   void StartEpoch(SnapshotPtr snapshot, TimePoint now, Actions& actions);
   void FanOut(TimePoint now, Actions& actions);
   void StartNextCanary(TimePoint now, Actions& actions);
+  // Read once for each fan-out, because it lists every server. Empty if the
+  // body is not suspect.
+  std::vector<ServerStatus> StatusIfSuspect() const;
   // True if a suspect body must not be sent to this part's group.
-  bool MustSpare(size_t index) const;
+  bool MustSpare(size_t index, const std::vector<ServerStatus>& status) const;
   void SparePart(size_t index);
 
   // Attempts of one part.
