--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -129,6 +129,9 @@
 // Time without a reply byte after which a connection is checked, if the caller
 // of the transport gives no expected time.
 inline constexpr Duration kProgressTimeout = milliseconds(250);
+// Connections to one server opened within this time count as equally old: a
+// fan-out opens several at once, and an answer on one speaks for the others.
+inline constexpr Duration kSameAge = milliseconds(100);
 inline constexpr Duration kProbeTimeout = milliseconds(500);
 inline constexpr Duration kCancelTimeout = milliseconds(250);
 // Unacknowledged data older than this breaks a backend connection.
--- a/src/peers/backend/shard.h
+++ b/src/peers/backend/shard.h
@@ -117,6 +117,8 @@
   bool StartProbe(Server* server);
   void OnProbeDone(Transfer* probe, bool answered);
   bool LooksSilent(const Transfer& transfer) const;
+  static bool LooksSilent(const Server& server, const SilenceSign& sign);
+  void MarkSuspect(Server* server, Clock::time_point cutoff);
   void MoveOff(Transfer* transfer, Clock::time_point cutoff);
 
   static int OnSocket(CURL*, curl_socket_t fd, int what, void* self, void*);
--- a/src/peers/backend/shard_silence.cc
+++ b/src/peers/backend/shard_silence.cc
@@ -9,6 +9,8 @@
 
 // Bound on Server::patience.
 constexpr uint32_t kMaxPatience = 16;
+// Bound on the wait between two checks of one transfer, as a power of two.
+constexpr uint32_t kMaxDoublings = 10;
 
 }  // namespace
 
@@ -27,7 +29,8 @@
     const Transfer& transfer) const {
   const Clock::time_point start =
       transfer.sent ? transfer.sent_at : Clock::now();
-  return start + transfer.expected * transfer.server->patience;
+  return start + transfer.expected * transfer.server->patience *
+                     (1U << std::min(transfer.checks, kMaxDoublings));
 }
 
 void Shard::OnTimer(Transfer* transfer, Clock::time_point now) {
@@ -51,7 +54,12 @@
   Server* server = transfer->server;
   const bool active = transfer->active;
   const bool ever_sent = transfer->ever_sent;
-  const bool silent = transfer->sent && transfer->head.status == 0;
+  if (transfer->kind == TransferKind::kWork && transfer->sent &&
+      transfer->connection && transfer->head.status == 0 &&
+      transfer->request.kind != RequestKind::kOperation) {
+    server->timed_out =
+        SilenceSign{transfer->connection->opened_at, transfer->sent_at};
+  }
   Withdraw(transfer);
   switch (transfer->kind) {
     case TransferKind::kWork:
@@ -62,7 +70,7 @@
         FinishWork(transfer, active ? SubOutcome::kConnectFailed
                                     : SubOutcome::kNoConnection);
       }
-      if (silent && !server->probing) {
+      if (server->timed_out && !server->probing) {
         StartProbe(server);
       }
       break;
@@ -79,13 +87,16 @@
 
 void Shard::OnProgressOver(Transfer* transfer) {
   Server* server = transfer->server;
-  transfer->progress_over = true;
+  // A check that finds nothing is repeated after twice the time.
+  ++transfer->checks;
+  transfer->progress_over =
+      transfer->moved || transfer->request.kind == RequestKind::kOperation;
   if (transfer->moved) {
     // The new connection is as slow: the server is, not the connection.
     server->patience = std::min(server->patience * 2, kMaxPatience);
     return;
   }
-  if (transfer->request.kind == RequestKind::kOperation || m_stopping) {
+  if (transfer->progress_over || m_stopping) {
     return;
   }
   if (transfer->connection && transfer->connection->no_reuse) {
@@ -102,18 +113,21 @@
   }
 }
 
-// True if no connection as old as the transfer's has answered since the
-// transfer was sent.
 bool Shard::LooksSilent(const Transfer& transfer) const {
-  if (!transfer.connection) {
-    return false;
-  }
-  const auto& connections = transfer.server->connections;
-  return std::none_of(
-      connections.begin(), connections.end(), [&](const Connection* other) {
-        return other->opened_at <= transfer.connection->opened_at &&
-               other->last_answer_at > transfer.sent_at;
-      });
+  return transfer.connection &&
+         LooksSilent(*transfer.server,
+                     {transfer.connection->opened_at, transfer.sent_at});
+}
+
+// True if no connection about as old has answered since the request was sent.
+bool Shard::LooksSilent(const Server& server, const SilenceSign& sign) {
+  return std::none_of(server.connections.begin(), server.connections.end(),
+                      [&](const Connection* other) {
+                        return other->opened_at <= sign.sent_at &&
+                               other->opened_at <=
+                                   sign.opened_at + config::kSameAge &&
+                               other->last_answer_at > sign.sent_at;
+                      });
 }
 
 bool Shard::StartProbe(Server* server) {
@@ -134,7 +148,8 @@
 void Shard::OnProbeDone(Transfer* probe, bool answered) {
   Server* server = probe->server;
   server->probing = false;
-  const Clock::time_point cutoff = probe->sent_at;
+  // The probe's own connection is newer than the start of the probe.
+  const Clock::time_point cutoff = probe->deadline - config::kProbeTimeout;
   std::vector<Transfer*> silent;
   for (Connection* connection : server->connections) {
     Transfer* user = connection->user;
@@ -149,18 +164,28 @@
   for (Transfer* transfer : silent) {
     MoveOff(transfer, cutoff);
   }
+  if (answered && server->timed_out &&
+      LooksSilent(*server, *server->timed_out)) {
+    MarkSuspect(server, cutoff);
+  }
+  server->timed_out.reset();
+}
+
+void Shard::MarkSuspect(Server* server, Clock::time_point cutoff) {
+  m_counters.closed_as_suspect.Add(
+      static_cast<int64_t>(m_connections.MarkSuspect(server, cutoff)));
 }
 
 // Connections opened before `cutoff` become suspect, and the transfer starts
-// again on a new one.
+// again on a newer one; time_point::min() means that no probe was answered.
 void Shard::MoveOff(Transfer* transfer, Clock::time_point cutoff) {
   Server* server = transfer->server;
-  m_counters.closed_as_suspect.Add(
-      static_cast<int64_t>(m_connections.MarkSuspect(server, cutoff)));
+  MarkSuspect(server, cutoff);
   Withdraw(transfer);
   m_counters.moved.Add();
   transfer->moved = true;
-  Restart(transfer, true);
+  // After a probe only its own and newer connections are left to be reused.
+  Restart(transfer, cutoff == Clock::time_point::min());
   Pump(server);
 }
 
--- a/src/peers/backend/transfer.cc
+++ b/src/peers/backend/transfer.cc
@@ -120,6 +120,7 @@
   too_large = false;
   awaits_probe = false;
   progress_over = false;
+  checks = 0;
 }
 
 void Transfer::Detach() {
--- a/src/peers/backend/transfer.h
+++ b/src/peers/backend/transfer.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,12 @@
 
 namespace wasabihook {
 
+// A request that had no reply byte in time, by its connection's age.
+struct SilenceSign {
+  TransportClock::time_point opened_at;
+  TransportClock::time_point sent_at;
+};
+
 // State of one backend server within its shard.
 struct Server {
   ServerId id;
@@ -28,6 +35,9 @@
   std::deque<Transfer*> waiting;
   std::vector<SubRequestId> cancels;
   bool probing = false;
+  // Last search or fetch whose deadline passed without a reply byte, until the
+  // next probe ends.
+  std::optional<SilenceSign> timed_out;
   // Factor on the expected time; grows when moves did not help.
   uint32_t patience = 1;
 };
@@ -80,6 +90,7 @@
   bool too_large = false;  // The reply exceeds the limit.
   bool moved = false;      // Moved off a silent connection.
   bool awaits_probe = false;
+  uint32_t checks = 0;         // Progress checks of this attempt.
   bool progress_over = false;  // No further progress check.
 
  private:
