Wire the real parts into the daemon

Claims, quarantine, membership, settings sync, the peer listener and the burn aggregator replace the placeholders. Limits of slots and connections follow the number of instances. A draining instance says so to platform and peers and hands over outcomes of operations and burn counts before it ends. The claim stores' Backoff is renamed, since a class of the same name in membership made two definitions of one name.

--- a/src/decision/operations/claim_context.h
+++ b/src/decision/operations/claim_context.h
@@ -37,9 +37,9 @@
 };
 
 // Delay that doubles from `base` to `max`, with jitter from half to whole.
-class Backoff {
+class ClaimBackoff {
  public:
-  Backoff(Duration base, Duration max) : m_base(base), m_max(max) {}
+  ClaimBackoff(Duration base, Duration max) : m_base(base), m_max(max) {}
 
   Duration Next(const RandomSource& random) {
     const Duration full = std::min(m_max, m_base * (int64_t{1} << m_step));
--- a/src/decision/operations/claim_finisher.h
+++ b/src/decision/operations/claim_finisher.h
@@ -64,8 +64,8 @@
   std::deque<Task> m_queue;
   size_t m_in_flight = 0;
   bool m_waiting = false;
-  Backoff m_backoff{config::kClaimFinishBaseDelay,
-                    config::kClaimFinishMaxDelay};
+  ClaimBackoff m_backoff{config::kClaimFinishBaseDelay,
+                         config::kClaimFinishMaxDelay};
 };
 
 }  // namespace wasabihook
--- a/src/decision/operations/claim_store.cc
+++ b/src/decision/operations/claim_store.cc
@@ -221,7 +221,8 @@
   // Revision that the latest write expected. Earlier ones expected revisions
   // that the key has left.
   Revision m_expected;
-  Backoff m_backoff{config::kClaimRetryBaseDelay, config::kClaimRetryMaxDelay};
+  ClaimBackoff m_backoff{config::kClaimRetryBaseDelay,
+                         config::kClaimRetryMaxDelay};
 };
 
 KeyValueClaimStore::Shared::Shared(ClaimStoreDeps d)
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -11,6 +11,9 @@
 
 // Request ids named in the log when requests are cut; the rest are counted.
 constexpr size_t kLoggedCutRequests = 100;
+// Longest time that the platform may hold up the end of a drained instance.
+constexpr Duration kHandOverLimit = std::chrono::seconds(10);
+constexpr Duration kHandOverPoll = std::chrono::milliseconds(20);
 
 HttpListenerOptions CallerOptions(const StartConfig& config) {
   HttpListenerOptions options;
@@ -66,6 +69,7 @@
        {"incarnation", std::to_string(m_parts.incarnation.value())},
        {"version", m_version},
        {"caller_address", caller_address()},
+       {"peer_address", m_parts.peer_listener->address()},
        {"admin_address", admin_address()}});
 }
 
@@ -75,6 +79,10 @@
   return m_caller_listener->address();
 }
 
+const std::string& Daemon::peer_address() const {
+  return m_parts.peer_listener->address();
+}
+
 const std::string& Daemon::admin_address() const {
   return m_admin_listener->address();
 }
@@ -181,6 +189,8 @@
        {"limit_ms", limit.count() / 1000},
        {"in_flight", m_parts.tier->in_flight()}});
   m_caller_listener->CloseAfterResponse();
+  m_parts.membership->Leave([] {});
+  m_parts.sync->SpreadNews();
   m_shutdown.WaitUntil(notice, [] { return false; });
   m_parts.tier->Drain([this] {
     m_drained = true;
@@ -193,12 +203,33 @@
   const Duration left =
       drained ? std::max(Duration(0), end - m_parts.timers.Now()) : Duration(0);
   const size_t cut = m_caller_listener->Stop(left);
+  HandOver();
   m_admin_listener->Stop(Duration(0));
   Log(LogLevel::kInfo, "stopped", {{"drained", drained}, {"cut", cut}});
   FlushLog();
   return drained && cut == 0 ? kExitDrained : kExitCut;
 }
 
+// Writes what only this instance knows: outcomes of operations and burn counts.
+void Daemon::HandOver() {
+  auto handed_over = std::make_shared<std::atomic<bool>>(false);
+  m_parts.aggregator->HandOver([this, handed_over](bool /*durable*/) {
+    *handed_over = true;
+    m_shutdown.Wake();
+  });
+  const auto done = [this, handed_over] {
+    return handed_over->load() && m_parts.claims.unfinished() == 0;
+  };
+  const TimePoint end = m_parts.timers.Now() + kHandOverLimit;
+  while (!m_shutdown.WaitUntil(kHandOverPoll, done) && !m_shutdown.forced() &&
+         m_parts.timers.Now() < end) {
+  }
+  if (!done())
+    Log(LogLevel::kWarning, "hand_over_incomplete",
+        {{"burn_counts", !handed_over->load()},
+         {"claims", m_parts.claims.unfinished()}});
+}
+
 void Daemon::LogCut() const {
   const std::vector<RequestId> ids = m_callers.InFlight();
   Log(LogLevel::kWarning, "drain_cut",
--- a/src/runtime/daemon.h
+++ b/src/runtime/daemon.h
@@ -41,6 +41,7 @@
 
   // Bound addresses, "ip:port".
   const std::string& caller_address() const;
+  const std::string& peer_address() const;
   const std::string& admin_address() const;
   // Knows the settings and is not draining.
   bool ready() const;
@@ -54,6 +55,7 @@
   void AddSampledMetrics();
   Duration DrainNotice() const;
   Duration DrainLimit() const;
+  void HandOver();
   void LogCut() const;
 
   const StartConfig m_config;
--- a/src/runtime/daemon_parts.cc
+++ b/src/runtime/daemon_parts.cc
@@ -3,8 +3,12 @@
 #include <cinttypes>
 #include <cstdio>
 #include <random>
+#include <stdexcept>
 #include <utility>
 
+#include "runtime/limits.h"
+#include "runtime/logging.h"
+
 namespace wasabihook {
 namespace {
 
@@ -38,6 +42,35 @@
   return options;
 }
 
+std::string ToText(ClaimEvent event) {
+  switch (event) {
+    case ClaimEvent::kUnclearWrite:
+      return "unclear_write";
+    case ClaimEvent::kWithdrawn:
+      return "withdrawn";
+    case ClaimEvent::kRecorded:
+      return "recorded";
+    case ClaimEvent::kOutcomeNotStored:
+      return "outcome_not_stored";
+    case ClaimEvent::kGivenUp:
+      return "given_up";
+    case ClaimEvent::kInvalidValue:
+      return "invalid_value";
+  }
+  return "unknown";
+}
+
+ClaimStoreDeps ClaimDeps(DaemonParts* parts, const StartConfig& config) {
+  return {.timers = &parts->timers,
+          .store = &parts->platform,
+          .random = parts->random,
+          .instance = config.instance,
+          .incarnation = parts->incarnation,
+          .on_event = [parts](ClaimEvent event, const ClaimKey& key) {
+            parts->metrics.RecordClaim(key.team, ToText(event));
+          }};
+}
+
 QueryTierDeps TierDeps(DaemonParts* parts, const StartConfig& config) {
   QueryTierDeps deps;
   deps.timers = &parts->timers;
@@ -71,11 +104,125 @@
       hedging(HedgePolicy::Create()),
       retry_budget(RetryBudget::Create()),
       admission(AdmissionController::Create(&timers)),
-      claims(&timers),
+      quarantine(&timers),
+      claims(ClaimDeps(this, config)),
       transport(BackendOptions(config)),
-      tier(QueryTier::Create(TierDeps(this, config))),
-      sync(&timers, &platform, &settings) {}
+      tier(QueryTier::Create(TierDeps(this, config))) {
+  PeerListenerOptions options;
+  options.address = config.peer_address;
+  // Bound first: an ephemeral port is part of this instance's identity.
+  peer_listener = std::make_unique<PeerListener>(
+      options,
+      [this](const PeerRequest& request) { return HandlePeer(request); });
+  StartMembership(config);
+  StartSync(config);
+  StartAggregator();
+  serves_peers = true;
+}
 
-DaemonParts::~DaemonParts() = default;
+DaemonParts::~DaemonParts() {
+  if (peer_listener)
+    peer_listener->Stop();
+  settings.Unsubscribe(m_settings_subscription);
+  if (membership)
+    membership->Unsubscribe(m_members_subscription);
+  aggregator.reset();
+  sync.reset();
+  // Callbacks of timers use the parts, so they end before any part does.
+  timers.Stop();
+}
+
+PeerResponse DaemonParts::HandlePeer(const PeerRequest& request) {
+  if (!serves_peers)
+    throw std::runtime_error("starting");
+  if (const auto* counts = std::get_if<BurnCountsRequest>(&request))
+    return aggregator->Handle(*counts);
+  return sync->Handle(request);
+}
+
+void DaemonParts::StartMembership(const StartConfig& config) {
+  const PeerIdentity self{config.instance, incarnation,
+                          peer_listener->address(), config.data_centre};
+  membership = Membership::Create(
+      {.timers = &timers, .list = &platform, .random = random, .self = self});
+  m_members_subscription = membership->Subscribe(
+      [this](const MembershipCounts& /*counts*/) { UpdateLimits(); });
+  m_settings_subscription =
+      settings.Subscribe([this](const SettingsChange& change) {
+        if (change.fleet)
+          membership->SetListPeriod(change.fleet->instance_list_period);
+        UpdateLimits();
+        Log(LogLevel::kInfo, "settings_applied",
+            {{"subtree", change.subtree},
+             {"revision", change.revision.value()}});
+      });
+  membership->Start();
+}
+
+void DaemonParts::StartSync(const StartConfig& config) {
+  sync = std::make_unique<SettingsSync>(SettingsSyncDeps{
+      .timers = &timers,
+      .store = &platform,
+      .transport = &peers,
+      .registry = &settings,
+      .membership = membership,
+      .random = random,
+      .seed_peers = config.seeds,
+      .notices = [this] { return Notices(); },
+      .on_notices =
+          [this](const PeerNotices& notices) { OnNotices(notices); }});
+  quarantine.SetOnAdded([this](const QuarantineEntry& entry) {
+    Log(LogLevel::kWarning, "body_quarantined",
+        {{"team", entry.team.value()},
+         {"fingerprint", std::to_string(entry.fingerprint.value())},
+         {"expires_in_ms", entry.expires_in.count() / 1000}});
+    if (serves_peers)
+      sync->SpreadNews();
+  });
+  sync->Start();
+}
+
+void DaemonParts::StartAggregator() {
+  aggregator = std::make_unique<BurnAggregator>(BurnAggregatorDeps{
+      .timers = &timers,
+      .store = &platform,
+      .peers = &peers,
+      .counters = &burn,
+      .random = random,
+      .self = membership->self(),
+      .live = [members = membership] {
+        std::vector<PeerIdentity> live;
+        const DataCentreId here = members->self().data_centre;
+        for (const Member& member : *members->Members()) {
+          if (member.state == MemberState::kLive &&
+              member.identity.data_centre == here)
+            live.push_back(member.identity);
+        }
+        return live;
+      }});
+  aggregator->Start();
+}
+
+void DaemonParts::UpdateLimits() {
+  ApplyLimits({&settings, servers.get(), admission.get(), &transport},
+              membership->Counts());
+}
+
+PeerNotices DaemonParts::Notices() const {
+  PeerNotices notices;
+  notices.quarantine = quarantine.Entries();
+  for (const ServerStatus& status : servers->Status()) {
+    if (status.draining)
+      notices.draining_servers.push_back(status.id);
+  }
+  return notices;
+}
+
+void DaemonParts::OnNotices(const PeerNotices& notices) {
+  for (const QuarantineEntry& entry : notices.quarantine)
+    quarantine.Merge(entry);
+  for (const ServerId& server : notices.draining_servers)
+    servers->MarkDraining(server, DrainSource::kPeer);
+}
 
 }  // namespace wasabihook
--- a/src/runtime/daemon_parts.h
+++ b/src/runtime/daemon_parts.h
@@ -3,17 +3,24 @@
 
 // PRIVATE HEADER. Composition of everything in a daemon but its listeners.
 
+#include <atomic>
 #include <memory>
 
+#include "decision/burn/burn_aggregator.h"
 #include "decision/burn/burn_counters.h"
+#include "decision/membership/membership.h"
+#include "decision/operations/claim_store.h"
+#include "decision/operations/quarantine.h"
 #include "decision/routing/admission_controller.h"
 #include "decision/routing/hedge_policy.h"
 #include "decision/routing/retry_budget.h"
 #include "decision/settings/settings_registry.h"
+#include "decision/settings/settings_sync.h"
 #include "peers/backend/curl_transport.h"
+#include "peers/instance/http_peer_transport.h"
+#include "peers/instance/peer_listener.h"
 #include "peers/platform/http_platform_client.h"
 #include "runtime/metrics.h"
-#include "runtime/placeholders.h"
 #include "runtime/start_config.h"
 #include "runtime/thread_timer_service.h"
 #include "wasabihook/query_tier.h"
@@ -24,7 +31,8 @@
 // The parts in the order of construction; destroyed in reverse. Each part
 // outlives those that use it.
 struct DaemonParts {
-  // Throws std::runtime_error if a part cannot be set up.
+  // Throws std::runtime_error if a part cannot be set up or the peer address
+  // cannot be bound.
   explicit DaemonParts(const StartConfig& config);
   ~DaemonParts();
   DaemonParts(const DaemonParts&) = delete;
@@ -41,11 +49,29 @@
   std::unique_ptr<HedgePolicy> hedging;
   std::unique_ptr<RetryBudget> retry_budget;
   std::unique_ptr<AdmissionController> admission;
-  UnavailableClaims claims;
-  NoQuarantine quarantine;
+  CrashQuarantine quarantine;
+  KeyValueClaimStore claims;
   CurlBackendTransport transport;
   std::unique_ptr<QueryTier> tier;
-  SettingsPoll sync;
+  HttpPeerTransport peers;
+  // Set when the parts below are there; calls of peers are refused until then.
+  std::atomic<bool> serves_peers{false};
+  std::unique_ptr<PeerListener> peer_listener;
+  std::shared_ptr<Membership> membership;
+  std::unique_ptr<SettingsSync> sync;
+  std::unique_ptr<BurnAggregator> aggregator;
+
+ private:
+  PeerResponse HandlePeer(const PeerRequest& request);
+  void StartMembership(const StartConfig& config);
+  void StartSync(const StartConfig& config);
+  void StartAggregator();
+  void UpdateLimits();
+  PeerNotices Notices() const;
+  void OnNotices(const PeerNotices& notices);
+
+  SubscriptionHandle m_settings_subscription;
+  SubscriptionHandle m_members_subscription;
 };
 
 }  // namespace wasabihook
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -75,7 +75,10 @@
       m_platform(Histogram(m_registry,
                            "wasabihook_platform_call_seconds",
                            "Calls to the platform by call and status, in "
-                           "seconds")) {}
+                           "seconds")),
+      m_claims(Counter(m_registry,
+                       "wasabihook_claim_events_total",
+                       "Events of claims of operations")) {}
 
 void Metrics::RecordOutcome(const RequestOutcome& outcome) {
   const prometheus::Labels labels = OutcomeLabels(outcome);
@@ -103,6 +106,10 @@
       .Observe(Seconds(latency));
 }
 
+void Metrics::RecordClaim(const TeamId& team, const std::string& event) {
+  m_claims.Add({{"team", team.value()}, {"event", event}}).Increment();
+}
+
 void Metrics::AddSampled(std::string name,
                          std::string help,
                          SampleKind kind,
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -43,6 +43,8 @@
   void RecordPlatformCall(const std::string& call,
                           const std::string& status,
                           Duration latency);
+  // Counts an event of an operation's claim.
+  void RecordClaim(const TeamId& team, const std::string& event);
   // Adds a metric whose samples are read at each scrape. `read` must be
   // thread-safe and outlive the scrapes.
   void AddSampled(std::string name,
@@ -69,6 +71,7 @@
   prometheus::Family<prometheus::Counter>& m_needed;
   prometheus::Family<prometheus::Counter>& m_invalid;
   prometheus::Family<prometheus::Histogram>& m_platform;
+  prometheus::Family<prometheus::Counter>& m_claims;
   mutable std::mutex m_mutex;
   std::vector<Sampled> m_sampled;
 };
--- a/src/runtime/status.cc
+++ b/src/runtime/status.cc
@@ -1,6 +1,7 @@
 #include "runtime/status.h"
 
 #include <chrono>
+#include <optional>
 
 #include <nlohmann/json.hpp>
 
@@ -47,6 +48,34 @@
   return servers;
 }
 
+json AgeJson(const std::optional<Duration>& age) {
+  return age ? json(age->count() / 1000) : json(nullptr);
+}
+
+json MembershipJson(const DaemonParts& parts) {
+  json members = json::array();
+  for (const Member& member : *parts.membership->Members()) {
+    members.push_back(
+        {{"instance", member.identity.instance.value()},
+         {"incarnation", std::to_string(member.identity.incarnation.value())},
+         {"peer_address", member.identity.address},
+         {"data_centre", member.identity.data_centre.value()},
+         {"state", ToString(member.state)}});
+  }
+  const MembershipCounts counts = parts.membership->Counts();
+  return {{"live", counts.live},
+          {"sharing", counts.sharing},
+          {"list_age_ms", AgeJson(parts.membership->ListAge())},
+          {"members", std::move(members)}};
+}
+
+json SyncJson(const DaemonParts& parts) {
+  const SettingsSyncStatus status = parts.sync->Status();
+  return {{"watcher", status.watcher},
+          {"store_age_ms", AgeJson(status.store_age)},
+          {"peer_age_ms", AgeJson(status.peer_age)}};
+}
+
 }  // namespace
 
 std::string EncodeStatus(const DaemonParts& parts,
@@ -64,6 +93,10 @@
       {"settings", SettingsJson(parts)},
       {"settings_hash", std::to_string(parts.settings.Hash())},
       {"greatest_revision", parts.settings.GreatestRevision().value()},
+      {"settings_sync", SyncJson(parts)},
+      {"membership", MembershipJson(parts)},
+      {"quarantined_bodies", parts.quarantine.Entries().size()},
+      {"unfinished_claims", parts.claims.unfinished()},
       {"servers", ServersJson(parts)}};
   return status.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/src/runtime/thread_timer_service.cc
+++ b/src/runtime/thread_timer_service.cc
@@ -24,6 +24,10 @@
 }
 
 ThreadTimerService::~ThreadTimerService() {
+  Stop();
+}
+
+void ThreadTimerService::Stop() {
   {
     std::lock_guard lock(m_mutex);
     m_stopping = true;
@@ -32,6 +36,7 @@
   m_turn.notify_all();
   for (std::thread& thread : m_threads)
     thread.join();
+  m_threads.clear();
 }
 
 TimePoint ThreadTimerService::Now() const {
--- a/src/runtime/thread_timer_service.h
+++ b/src/runtime/thread_timer_service.h
@@ -23,10 +23,13 @@
 class ThreadTimerService : public TimerService {
  public:
   explicit ThreadTimerService(uint32_t threads = config::kTimerThreads);
-  // Drops callbacks that are not due and waits for those that run. Must not be
-  // called from a callback.
+  // Calls Stop().
   ~ThreadTimerService() override;
 
+  // Waits for callbacks that run and starts no others from then on. Must not
+  // be called from a callback.
+  void Stop();
+
   TimePoint Now() const override;
   WallTime WallNow() const override;
   TimerHandle SubscribeOnce(Duration delay, Callback callback) override;
