--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -319,6 +319,9 @@
 // --- Shutdown ---
 inline constexpr Duration kDrainNotice = seconds(5);
 inline constexpr Duration kDrainLimit = seconds(60);
+// Longest time that the platform may hold up the end of a drained instance.
+inline constexpr Duration kHandOverLimit = seconds(10);
+inline constexpr Duration kHandOverPoll = milliseconds(20);
 
 // --- Threads and logs ---
 inline constexpr uint32_t kTimerThreads = 2;
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -11,9 +11,6 @@
 
 // Request ids named in the log when requests are cut; the rest are counted.
 constexpr size_t kLoggedCutRequests = 100;
-// Longest time that the platform may hold up the end of a drained instance.
-constexpr Duration kHandOverLimit = std::chrono::seconds(10);
-constexpr Duration kHandOverPoll = std::chrono::milliseconds(20);
 
 HttpListenerOptions CallerOptions(const StartConfig& config) {
   HttpListenerOptions options;
@@ -140,28 +137,6 @@
                                    .draining = m_shutdown.requested()})});
 }
 
-void Daemon::AddSampledMetrics() {
-  m_parts.metrics.AddSampled(
-      "wasabihook_requests_in_flight", "Requests that wait for their answer",
-      SampleKind::kGauge, [this] {
-        return std::vector<MetricSample>{
-            {{}, static_cast<double>(m_parts.tier->in_flight())}};
-      });
-  m_parts.metrics.AddSampled(
-      "wasabihook_settings_revision", "Revision in force by subtree",
-      SampleKind::kGauge, [this] {
-        std::vector<MetricSample> samples;
-        for (const SubtreeStatus& status : m_parts.settings.Status())
-          samples.push_back({{{"subtree", status.subtree}},
-                             static_cast<double>(status.in_force.value())});
-        return samples;
-      });
-  m_parts.metrics.AddSampled(
-      "wasabihook_ready", "1 if ready, else 0", SampleKind::kGauge, [this] {
-        return std::vector<MetricSample>{{{}, ready() ? 1.0 : 0.0}};
-      });
-}
-
 // Settings of the deployment win over the start file once they are known.
 Duration Daemon::DrainNotice() const {
   const FleetSettingsPtr fleet = m_parts.settings.Fleet();
@@ -220,9 +195,9 @@
   const auto done = [this, handed_over] {
     return handed_over->load() && m_parts.claims.unfinished() == 0;
   };
-  const TimePoint end = m_parts.timers.Now() + kHandOverLimit;
-  while (!m_shutdown.WaitUntil(kHandOverPoll, done) && !m_shutdown.forced() &&
-         m_parts.timers.Now() < end) {
+  const TimePoint end = m_parts.timers.Now() + config::kHandOverLimit;
+  while (!m_shutdown.WaitUntil(config::kHandOverPoll, done) &&
+         !m_shutdown.forced() && m_parts.timers.Now() < end) {
   }
   if (!done())
     Log(LogLevel::kWarning, "hand_over_incomplete",
