--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -251,7 +251,7 @@
 inline constexpr Duration kInstanceListPeriod = seconds(1);
 // Bounds the traffic of reading the list: the period grows with the number of
 // instances, each of which takes this many bytes.
-inline constexpr size_t kInstanceListBytesPerSecond = 8192;
+inline constexpr size_t kInstanceListBytesPerSecond = 4096;
 inline constexpr size_t kListedInstanceBytes = 128;
 // Time between two announcements of one instance, and the announcements of all
 // instances together per second, whichever is slower.
--- a/src/peers/instance/http_peer_transport.cc
+++ b/src/peers/instance/http_peer_transport.cc
@@ -101,6 +101,7 @@
       continue;
     }
     const uint64_t before = client.bytes();
+    ++m_calls;
     std::optional<PeerResponse> response =
         Exchange(client, job->address, job->request);
     m_bytes += client.bytes() - before;
--- a/src/peers/instance/http_peer_transport.h
+++ b/src/peers/instance/http_peer_transport.h
@@ -39,6 +39,8 @@
 
   // Body bytes sent and received so far.
   uint64_t bytes() const { return m_bytes.load(); }
+  // Calls handed to a peer so far.
+  uint64_t calls() const { return m_calls.load(); }
 
  private:
   struct Job {
@@ -57,6 +59,7 @@
   std::deque<Job> m_queue;
   bool m_stopping = false;
   std::atomic<uint64_t> m_bytes{0};
+  std::atomic<uint64_t> m_calls{0};
   std::vector<std::thread> m_threads;
 };
 
