--- a/programs/wasabihook-fleet-bench/main.cc
+++ b/programs/wasabihook-fleet-bench/main.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <exception>
 #include <fstream>
--- a/programs/wasabihookctl/main.cc
+++ b/programs/wasabihookctl/main.cc
@@ -61,7 +61,10 @@
     const std::string name = length == 1 ? words[0] : words[0] + ' ' + words[1];
     if (const auto it = Commands().find(name); it != Commands().end()) {
       Arguments arguments = {"wasabihookctl " + name};
-      arguments.insert(arguments.end(), words.begin() + length, words.end());
+      arguments.insert(
+          arguments.end(),
+          words.begin() + static_cast<Arguments::difference_type>(length),
+          words.end());
       return it->second.run(std::move(arguments));
     }
   }
