--- a/tests/settings_writer_test.cc
+++ b/tests/settings_writer_test.cc
@@ -146,6 +146,29 @@
             "[a]\nx = 1\ny = 2\n");
 }
 
+// Guards against change ids that are lost, doubled or cost the operator's
+// comments, however the table `change` is written.
+TEST(SettingsTextTest, ReplacesOnlyTheChangeIds) {
+  const std::vector<std::string> ids = {"c-1", "c-2"};
+  const std::string team = "# Desk\n[team]\nname = \"clerks\" # kept\n";
+  for (const std::string change :
+       {"", "[change]\nids = [\"c-0\"]\n", "[change] # last\nids = [\n]\n",
+        "[ change ]\nids = []\n"}) {
+    for (const std::string& text :
+         {team + change, change + team, team + change + "[limits]\n"}) {
+      const std::string result = WithChangeIds(text, ids);
+      EXPECT_EQ(ReadChangeIds(result), ids) << text;
+      EXPECT_TRUE(DiffSettings(text, result).empty()) << text;
+      EXPECT_EQ(GuessSubtree(result), "teams/clerks");
+      if (!change.starts_with("[ ")) {
+        EXPECT_NE(result.find("# kept"), std::string::npos) << text;
+      }
+    }
+  }
+  const std::string inline_table = "change = {ids = []}\n" + team;
+  EXPECT_EQ(ReadChangeIds(WithChangeIds(inline_table, ids)), ids);
+}
+
 std::string WithIndexSet(const std::string& text, const std::string& name) {
   return text + "\n[index_sets." + name +
          "]\nindex_version = 1\nmap_version = 1\n[[index_sets." + name +
