--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -31,20 +31,32 @@
 }
 # From include/wasabihook/config.h.
 CONFIG = {
-    "digest_s": 0.5, "exchanges": 2, "watchers": 2, "watch_s": 30, "list_s": 1,
-    "collect_s": 60, "retained_buckets": 360,
+    "digest_s": 0.5, "exchanges": 2, "news_fanout": 3, "news_s": 0.02,
+    "full_list_period": 8, "watchers": 2, "watch_s": 2, "watch_gap_s": 0.2,
+    "list_s": 1, "list_bytes_s": 8192, "listed_bytes": 128,
+    "announcements": 100, "collect_s": 60, "retained_buckets": 360,
 }
 SECONDS_PER_DAY = 86400
 SEED = 20261204
 
 
 def load_benchmarks(path):
+    """Context and, of each benchmark, the repetition with the least CPU time.
+
+    Other load on the machine can only add to the CPU time.
+    """
     with open(path, encoding="utf-8") as file:
         report = json.load(file)
     failed = [b["name"] for b in report["benchmarks"] if b.get("error_occurred")]
     if failed:
         sys.exit("benchmarks failed: " + ", ".join(failed))
-    return report["context"], {b["name"]: b for b in report["benchmarks"]}
+    fastest = {}
+    for run in report["benchmarks"]:
+        if run.get("run_type") == "iteration":
+            best = fastest.get(run["name"])
+            if best is None or run["cpu_time"] < best["cpu_time"]:
+                fastest[run["name"]] = run
+    return report["context"], fastest
 
 
 def slope(benchmarks, name, small, large, field):
@@ -106,33 +118,39 @@
     }
 
 
-def spread_periods(both_ways, runs=200):
-    """Digest periods until all instances of all data centres know a change.
-
-    Returns the median and the 99th percentile over seeded runs. Each instance
-    exchanges with one random instance of its data centre in each period. With
-    `both_ways` either side learns, otherwise only the one that asks.
-    """
-    rng = random.Random(SEED)
+def spread_one(rng, with_news):
+    """Seconds until all instances of one data centre know a change."""
     size = TARGET["daemons"] // TARGET["data_centres"]
-    results = []
-    for _ in range(runs):
-        slowest = 0
-        for _ in range(TARGET["data_centres"]):
-            known = [i < CONFIG["watchers"] for i in range(size)]
-            periods = 0
-            while not all(known):
-                before = known[:]
-                for i in range(size):
-                    j = rng.randrange(size)
-                    if before[j]:
-                        known[i] = True
-                    if both_ways and before[i]:
-                        known[j] = True
-                periods += 1
-            slowest = max(slowest, periods)
-        results.append(slowest)
-    results.sort()
+    steps = round(CONFIG["digest_s"] / CONFIG["news_s"])
+    phases = [[] for _ in range(steps)]
+    for i in range(size):
+        phases[rng.randrange(steps)].append(i)
+    known = set(range(CONFIG["watchers"]))
+    fresh = list(known)
+    step = 0
+    while len(known) < size:
+        learned = []
+        if with_news:
+            # One of the peers told is in another data centre.
+            for _ in fresh:
+                learned += [rng.randrange(size)
+                            for _ in range(CONFIG["news_fanout"] - 1)]
+        for i in phases[step % steps]:
+            j = rng.randrange(size)
+            if (i in known) != (j in known):
+                learned += [i, j]
+        fresh = list(set(learned) - known)
+        known.update(fresh)
+        step += 1
+    return step * CONFIG["news_s"]
+
+
+def spread_seconds(with_news, runs=200):
+    """Median and 99th percentile over runs of the slowest data centre."""
+    rng = random.Random(SEED)
+    results = sorted(
+        max(spread_one(rng, with_news) for _ in range(TARGET["data_centres"]))
+        for _ in range(runs))
     return results[runs // 2], results[int(runs * 0.99)]
 
 
@@ -244,16 +262,27 @@
     f["digest_kb"] = f["exchanges_s"] * f["exchange_bytes"] / 1e3
     f["digest_core"] = f["exchanges_s"] * (
         s["digest_ns"] + s["digest_reply_ns"]) / 1e7
-    f["differ_kb"] = f["exchanges_s"] * a["teams"] * s["subtree_bytes"] / 1e3
-    for name, both_ways in (("pull", False), ("both", True)):
-        f[f"{name}_median"], f[f"{name}_p99"] = (
-            n * c["digest_s"] for n in spread_periods(both_ways))
+    f["differ_kb"] = (f["exchanges_s"] * a["teams"] * s["subtree_bytes"]
+                      / c["full_list_period"] / 1e3)
+    # Each change is told to and by as many peers.
+    news = 2 * c["news_fanout"] * f["exchange_bytes"] / 1e3
+    f["news_kb"] = f["changes"] * news
+    f["news_burst"] = t["burst"] * news
+    for name, with_news in (("digests", False), ("news", True)):
+        f[f"{name}_median"], f[f"{name}_p99"] = spread_seconds(with_news)
     watchers = c["watchers"] * t["data_centres"]
     f["watch_calls"] = watchers / c["watch_s"]
-    f["watch_burst"] = watchers * t["burst"]
+    f["watch_burst"] = watchers / c["watch_gap_s"]
     f["watch_all_mb"] = a["teams"] * f["team_text"] / 1e6
+    f["watcher_burst"] = f["watch_all_mb"] / c["watch_gap_s"] * 1e3
     f["watch_all_burst"] = f["watch_burst"] * f["watch_all_mb"]
-    f["list_calls"] = t["daemons"] / c["list_s"]
+    f["watcher_average"] = f["changes"] * f["watch_all_mb"] * 1e3
+    f["list_period"] = max(
+        c["list_s"], t["daemons"] * c["listed_bytes"] / c["list_bytes_s"])
+    f["list_calls"] = t["daemons"] / f["list_period"]
+    f["list_kb"] = t["daemons"] * c["listed_bytes"] / f["list_period"] / 1e3
+    f["announce_period"] = t["daemons"] / c["announcements"]
+    f["announce_share"] = c["announcements"] / a["platform_writes"] * 100
 
 
 def claim_figures(f, s):
@@ -285,6 +314,8 @@
         s["burn_team_ns"] + s["burn_fold_team_ns"]) / c["collect_s"] / 1e7
     f["burn_encode_core"] = (f["burn_value"] * 1e6 * s["ledger_byte_ns"]
                              / c["collect_s"] / 1e7)
+    f["burn_aggregator_total"] = (
+        f["burn_aggregator_core"] + f["burn_encode_core"])
     f["burn_record_core"] = f["queries_daemon"] * s["burn_record_ns"] / 1e7
     f["burn_retained"] = (c["retained_buckets"] * a["teams"]
                           * s["burn_team_memory"]) / 1e6
@@ -302,7 +333,10 @@
         f["digest_core"] + f["burn_record_core"]
         + f["changes"] * f["offer_ms"] / 10)
     f["control_bytes_total"] = (
-        f["digest_kb"] + f["change_bytes"] + f["burn_peer_kb"])
+        f["digest_kb"] + f["change_bytes"] + f["news_kb"] + f["list_kb"]
+        + f["burn_peer_kb"])
+    f["framing_left"] = (t["control_bytes"] - f["control_bytes_total"] * 1e3
+                         ) / f["exchanges_s"]
     f["control_memory_total"] = (
         f["settings_memory"] + f["table_all"] + f["burn_retained"])
     limits = {
@@ -311,11 +345,14 @@
         "control_memory_total": t["control_memory"] / 1e6,
         "burst_bytes": t["control_bytes"] / 1e3,
         "burst_core": t["control_core"] * 100,
-        "pull_p99": 5, "both_p99": 5,
+        "digests_p99": 5, "news_p99": 5,
+        "news_burst": t["control_bytes"] / 1e3,
+        "watcher_average": t["control_bytes"] / 1e3,
+        "watcher_burst": t["control_bytes"] / 1e3,
         "list_calls": t["platform_reads"],
         "burn_value": t["value_bytes"] / 1e6,
         "burn_aggregator_kb": t["control_bytes"] / 1e3,
-        "burn_aggregator_core": t["control_core"] * 100,
+        "burn_aggregator_total": t["control_core"] * 100,
         "burn_own_key_writes": ASSUMED["platform_writes"],
         "burn_writes": ASSUMED["platform_writes"],
     }
--- a/tests/burn_aggregator_test.cc
+++ b/tests/burn_aggregator_test.cc
@@ -5,13 +5,18 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <atomic>
+#include <condition_variable>
 #include <deque>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
+#include <thread>
 #include <utility>
 
 #include "decision/burn/burn_codec.h"
+#include "testing/fake_store.h"
 #include "testing/manual_timer_service.h"
 
 namespace wasabihook {
@@ -446,6 +451,157 @@
   }
 }
 
+// Runs store and peer calls on threads of its own.
+class ThreadedWorld : public KeyValueStore, public PeerTransport {
+ public:
+  ThreadedWorld() {
+    for (int i = 0; i < 2; ++i) {
+      m_threads.emplace_back([this] { Work(); });
+    }
+  }
+  ~ThreadedWorld() override { Stop(); }
+
+  // Finishes every call, then ends the threads.
+  void Stop() {
+    {
+      std::lock_guard lock(m_mutex);
+      m_stopping = true;
+    }
+    m_wake.notify_all();
+    for (std::thread& thread : m_threads) {
+      thread.join();
+    }
+    m_threads.clear();
+  }
+
+  void Get(std::string key, std::function<void(GetResult)> done) override {
+    Post([this, key, done] {
+      std::unique_lock lock(m_mutex);
+      const GetResult result = m_store.Get(key);
+      lock.unlock();
+      done(result);
+    });
+  }
+  void CompareAndSwap(std::string key,
+                      Revision expected,
+                      std::string value,
+                      std::function<void(WriteResult)> done) override {
+    Post([this, key, expected, value, done] {
+      std::unique_lock lock(m_mutex);
+      const WriteResult result =
+          m_store.CompareAndSwap(key, expected, value, 0);
+      lock.unlock();
+      done(result);
+    });
+  }
+  void List(std::string,
+            std::optional<Revision>,
+            Duration,
+            std::function<void(ListResult)>) override {}
+  void Delete(std::string,
+              Revision,
+              std::function<void(WriteResult)>) override {}
+  void Call(const std::string& address,
+            PeerRequest request,
+            std::function<void(std::optional<PeerResponse>)> done) override {
+    Post([this, address, request, done] {
+      done(m_aggregators.at(address)->Handle(
+          std::get<BurnCountsRequest>(request)));
+    });
+  }
+
+  testing::FakeStore m_store;
+  std::map<std::string, BurnAggregator*> m_aggregators;
+
+ private:
+  void Post(std::function<void()> call) {
+    {
+      std::lock_guard lock(m_mutex);
+      m_queue.push_back(std::move(call));
+    }
+    m_wake.notify_one();
+  }
+  void Work() {
+    std::unique_lock lock(m_mutex);
+    while (true) {
+      m_wake.wait(lock, [this] { return m_stopping || !m_queue.empty(); });
+      if (m_queue.empty()) {
+        return;
+      }
+      auto call = std::move(m_queue.front());
+      m_queue.pop_front();
+      lock.unlock();
+      call();
+      lock.lock();
+    }
+  }
+
+  std::mutex m_mutex;
+  std::condition_variable m_wake;
+  bool m_stopping = false;
+  std::deque<std::function<void()>> m_queue;
+  std::vector<std::thread> m_threads;
+};
+
+// Guards against data races and counts lost between recording threads, rounds
+// of two aggregators and a hand-over, with callbacks on other threads.
+TEST(BurnAggregatorThreadsTest, CountsEachRequestOnce) {
+  constexpr uint64_t kRequests = 5000;
+  testing::ManualTimerService timers;
+  AnyTeamSettings settings;
+  BurnCounters a_counters(&timers, &settings), b_counters(&timers, &settings);
+  ThreadedWorld world;
+  const DataCentreId here("bole");
+  const PeerIdentity a{InstanceId("a"), Incarnation(1), "a", here};
+  const PeerIdentity b{InstanceId("b"), Incarnation(2), "b", here};
+  // Each takes itself for the aggregator of both.
+  BurnAggregator first({&timers, &world, &world, &a_counters,
+                        MakeRandomSource(1), a,
+                        [&] { return std::vector{a}; }});
+  BurnAggregator second(
+      {&timers, &world, &world, &b_counters, MakeRandomSource(2), b, [&] {
+         return BurnAggregatorAmong({a, b}) == b.instance ? std::vector{a, b}
+                                                          : std::vector{b};
+       }});
+  world.m_aggregators = {{"a", &first}, {"b", &second}};
+  std::vector<std::thread> recorders;
+  for (BurnCounters* counters : {&a_counters, &b_counters}) {
+    recorders.emplace_back([counters] {
+      RequestOutcome outcome;
+      outcome.team = TeamId("clerks");
+      outcome.complete = true;
+      for (uint64_t i = 0; i < kRequests; ++i) {
+        counters->Record(outcome);
+      }
+    });
+  }
+  for (int round = 0; round < 50; ++round) {
+    timers.Advance(minutes(1));
+    first.RunRound();
+    second.RunRound();
+  }
+  for (std::thread& recorder : recorders) {
+    recorder.join();
+  }
+  std::atomic<int> durable = 0;
+  first.HandOver([&](bool ok) { durable += ok ? 1 : 0; });
+  second.HandOver([&](bool ok) { durable += ok ? 1 : 0; });
+  for (int i = 0; i < 10000 && durable < 2; ++i) {
+    timers.Advance(config::kBurnHandOverBackoff);
+    std::this_thread::yield();
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  world.Stop();
+  EXPECT_EQ(durable, 2);
+  const BurnLedger ledger =
+      DecodeBurnLedger(world.m_store.Get("burn/bole").entry.value);
+  uint64_t sum = 0;
+  for (const auto& [span, cell] : ledger.teams.at(TeamId("clerks")).cells) {
+    sum += cell.requests;
+  }
+  EXPECT_EQ(sum, 2 * kRequests);
+}
+
 // Guards against counting twice after the watermark of an instance was dropped
 // because it had been silent for long.
 TEST(BurnLedgerTest, RefusesOldBucketsOfSourcesWithoutWatermark) {
