--- a/bench/decision_benchmark.cc
+++ b/bench/decision_benchmark.cc
@@ -67,7 +67,7 @@
 };
 
 // One Acquire() and Release() in a group of range(0) replicas.
-void BM_ReplicaChoice(benchmark::State& state) {
+void ChooseReplica(benchmark::State& state) {
   Table table(1, static_cast<size_t>(state.range(0)));
   for (auto _ : state) {
     auto server = table.m_table->Acquire(table.m_groups[0], table.m_shape,
@@ -76,24 +76,24 @@
                            std::chrono::milliseconds(5));
   }
 }
-BENCHMARK(BM_ReplicaChoice)->Arg(2)->Arg(3)->Arg(5);
+BENCHMARK(ChooseReplica)->Arg(2)->Arg(3)->Arg(5);
 
 // Acquire() and Release() for a plan of range(0) groups, with range(1) groups
 // of two servers known to the table.
-void BM_Plan(benchmark::State& state) {
+void Plan(benchmark::State& state) {
   Table table(static_cast<size_t>(state.range(1)));
   for (auto _ : state) {
     table.RunPlan(static_cast<size_t>(state.range(0)));
   }
   state.SetItemsProcessed(state.iterations() * state.range(0));
 }
-BENCHMARK(BM_Plan)
+BENCHMARK(Plan)
     ->Args({20, 20})
     ->Args({470, 470})
     ->Args({470, 2000})
     ->Args({470, 10000});
 
-void BM_HedgeObserveAndDelay(benchmark::State& state) {
+void HedgeObserveAndDelay(benchmark::State& state) {
   auto policy = HedgePolicy::Create();
   const GroupKey key{TeamId("clerks"), IndexSetId("lab-ledger"),
                      ShardGroupId("17")};
@@ -104,9 +104,9 @@
     latency = 5000 + (latency * 31) % 7000;
   }
 }
-BENCHMARK(BM_HedgeObserveAndDelay);
+BENCHMARK(HedgeObserveAndDelay);
 
-void BM_RetryBudget(benchmark::State& state) {
+void SpendBudget(benchmark::State& state) {
   auto budget = RetryBudget::Create();
   const TeamId team("clerks");
   for (auto _ : state) {
@@ -114,9 +114,9 @@
     benchmark::DoNotOptimize(budget->TrySpendForHedge(team));
   }
 }
-BENCHMARK(BM_RetryBudget);
+BENCHMARK(SpendBudget);
 
-void BM_AdmitAndRelease(benchmark::State& state) {
+void AdmitAndRelease(benchmark::State& state) {
   testing::ManualTimerService timers;
   auto controller = AdmissionController::Create(&timers);
   const TeamId team("clerks");
@@ -128,10 +128,10 @@
     controller->Release(team, pool, std::chrono::milliseconds(20), false);
   }
 }
-BENCHMARK(BM_AdmitAndRelease);
+BENCHMARK(AdmitAndRelease);
 
 // Two winners of range(0) candidates.
-void BM_Rendezvous(benchmark::State& state) {
+void ChooseTwoWinners(benchmark::State& state) {
   std::vector<std::string> names;
   for (int64_t i = 0; i < state.range(0); ++i) {
     names.push_back("instance-" + std::to_string(i));
@@ -140,7 +140,7 @@
     benchmark::DoNotOptimize(RendezvousTopK("10.0.0.1:7000", names, 2));
   }
 }
-BENCHMARK(BM_Rendezvous)->Arg(8)->Arg(450);
+BENCHMARK(ChooseTwoWinners)->Arg(8)->Arg(450);
 
 }  // namespace
 }  // namespace wasabihook
