--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -118,7 +118,7 @@
       response.headers.emplace_back(name, request.Header(name).value_or(""));
     response.body = R"({"request_id":")" +
                     request.Header("X-Request-Id").value_or("") +
-                    R"(","index_version":1,"map_version":1,)"
+                    R"(","group":"g0","index_version":1,"map_version":1,)"
                     R"("records_searched":10,"row_count":1,"rows":[{"k":1}]})";
     std::lock_guard lock(m_mutex);
     if (m_hold)
