--- a/src/decision/operations/quarantine.cc
+++ b/src/decision/operations/quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace wasabihook {
@@ -201,25 +202,29 @@
   return it->second;
 }
 
-// Drops expired evidence, or else the body that expires first, suspects before
-// quarantined ones.
+// Drops the bodies that expire first, suspects before quarantined ones. Drops
+// several at once, so that a flood of bodies does not sort a full shard for
+// each of them.
 void CrashQuarantine::MakeRoom(Shard& shard, TimePoint now) {
   constexpr size_t kMaxBodies =
       config::kMaxSuspectBodies / config::kStateShards;
+  constexpr size_t kDropped = kMaxBodies / 8;
   if (shard.bodies.size() < kMaxBodies) {
     return;
   }
-  if (std::erase_if(shard.bodies, [&](const auto& body) {
-        return body.second.expires <= now;
-      }) > 0) {
-    return;
+  using Candidate = std::tuple<bool, TimePoint, BodyKey>;
+  std::vector<Candidate> candidates;
+  candidates.reserve(shard.bodies.size());
+  for (const auto& [key, evidence] : shard.bodies) {
+    const bool in_force = evidence.expires > now;
+    candidates.emplace_back(in_force && evidence.quarantined, evidence.expires,
+                            key);
+  }
+  std::nth_element(candidates.begin(), candidates.begin() + kDropped,
+                   candidates.end());
+  for (size_t i = 0; i < kDropped; ++i) {
+    shard.bodies.erase(std::get<BodyKey>(candidates[i]));
   }
-  shard.bodies.erase(std::min_element(
-      shard.bodies.begin(), shard.bodies.end(),
-      [](const auto& a, const auto& b) {
-        return std::pair(a.second.quarantined, a.second.expires) <
-               std::pair(b.second.quarantined, b.second.expires);
-      }));
 }
 
 }  // namespace wasabihook
