--- a/programs/wasabihook-fleet-bench/main.cc
+++ b/programs/wasabihook-fleet-bench/main.cc
@@ -90,8 +90,8 @@
   if (sorted.empty()) {
     return 0;
   }
-  const auto index =
-      static_cast<size_t>(share * static_cast<double>(sorted.size() - 1) + 0.5);
+  const auto index = static_cast<size_t>(
+      std::lround(share * static_cast<double>(sorted.size() - 1)));
   return sorted[index];
 }
 
