--- a/examples/burn_report.cc
+++ b/examples/burn_report.cc
@@ -3,6 +3,9 @@
 // lost for twenty minutes of the last day, and ten minutes without counts.
 //
 //   example_burn_report html > report.html
+//
+// With "value" it prints the counts of one data centre as they are stored in
+// the platform.
 
 #include <cmath>
 #include <iostream>
@@ -10,6 +13,7 @@
 #include <string>
 
 #include "decision/burn/burn_cell.h"
+#include "decision/burn/burn_codec.h"
 #include "decision/burn/report.h"
 
 namespace {
@@ -81,6 +85,10 @@
     }
     ledger.Compact(kEndMinute);
   }
+  if (format == "value") {
+    std::cout << EncodeBurnLedger(ledgers.begin()->second);
+    return 0;
+  }
   const WallTime now{std::chrono::minutes(kEndMinute + 2)};
   const BurnReport report = MakeBurnReport(ledgers, now);
   std::cout << (format == "html"   ? FormatReportHtml(report)
--- a/src/decision/burn/report_html.cc
+++ b/src/decision/burn/report_html.cc
@@ -192,9 +192,11 @@
 std::string FormatReportHtml(const BurnReport& report) {
   std::string html = kHead;
   const Output out = std::back_inserter(html);
-  fmt::format_to(out, "<h1>Burn report</h1><p>Made {}; windows end at {}.</p>",
+  fmt::format_to(out, "<h1>Burn report</h1><p>Made {}; {}.</p>",
                  DescribeTime(report.generated),
-                 DescribeTime(report.counts_until));
+                 report.teams.empty()
+                     ? "no counts"
+                     : "windows end at " + DescribeTime(report.counts_until));
   for (const std::string& problem : report.problems) {
     fmt::format_to(out, "<div class='alert page'>{}</div>",
                    EscapeHtml(problem));
--- a/src/decision/burn/report_text.cc
+++ b/src/decision/burn/report_text.cc
@@ -63,9 +63,12 @@
 std::string FormatReportText(const BurnReport& report) {
   std::string text;
   const Output out = std::back_inserter(text);
-  fmt::format_to(out, "Burn report of {}; windows end at {}\n",
-                 DescribeTime(report.generated),
-                 DescribeTime(report.counts_until));
+  fmt::format_to(out, "Burn report of {}", DescribeTime(report.generated));
+  if (!report.teams.empty()) {
+    fmt::format_to(out, "; windows end at {}",
+                   DescribeTime(report.counts_until));
+  }
+  text += '\n';
   for (const std::string& problem : report.problems) {
     fmt::format_to(out, "WARNING: {}\n", problem);
   }
