--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -105,8 +105,10 @@
 // Latency over the pool's baseline from which its limit shrinks.
 inline constexpr double kAdmissionLatencyFactor = 2.0;
 // A queue whose oldest request has waited longer than the target for a whole
-// interval serves the newest request first.
-inline constexpr Duration kQueueTarget = milliseconds(10);
+// interval serves the newest request first and refuses what waits longer than
+// the target, so that a refusal under overload takes less than 20 ms. A request
+// never waits longer than the interval.
+inline constexpr Duration kQueueTarget = milliseconds(15);
 inline constexpr Duration kQueueInterval = milliseconds(100);
 
 // --- Replica choice ---
@@ -137,6 +139,9 @@
 // Time without a reply byte after which a connection is checked, if the caller
 // of the transport gives no expected time.
 inline constexpr Duration kProgressTimeout = milliseconds(250);
+// Connections to one server opened within this time count as equally old: a
+// fan-out opens several at once, and an answer on one speaks for the others.
+inline constexpr Duration kSameAge = milliseconds(100);
 inline constexpr Duration kProbeTimeout = milliseconds(500);
 inline constexpr Duration kCancelTimeout = milliseconds(250);
 // Unacknowledged data older than this breaks a backend connection.
@@ -267,7 +272,7 @@
 inline constexpr Duration kInstanceListPeriod = seconds(1);
 // Bounds the traffic of reading the list: the period grows with the number of
 // instances, each of which takes this many bytes.
-inline constexpr size_t kInstanceListBytesPerSecond = 8192;
+inline constexpr size_t kInstanceListBytesPerSecond = 4096;
 inline constexpr size_t kListedInstanceBytes = 128;
 // Time between two announcements of one instance, and the announcements of all
 // instances together per second, whichever is slower.
@@ -319,6 +324,9 @@
 // --- Shutdown ---
 inline constexpr Duration kDrainNotice = seconds(5);
 inline constexpr Duration kDrainLimit = seconds(60);
+// Longest time that the platform may hold up the end of a drained instance.
+inline constexpr Duration kHandOverLimit = seconds(10);
+inline constexpr Duration kHandOverPoll = milliseconds(20);
 
 // --- Threads and logs ---
 inline constexpr uint32_t kTimerThreads = 2;
