--- a/src/testing/load/figures.cc
+++ b/src/testing/load/figures.cc
@@ -15,6 +15,7 @@
   const Json& coverage = body.at("coverage");
   const auto asked = coverage.at("records_asked").get<double>();
   const auto covered = coverage.at("records_covered").get<double>();
+  sample->groups = coverage.at("groups_asked").get<uint32_t>();
   sample->coverage = asked > 0 ? covered / asked : 1;
   sample->outcome = coverage.at("complete").get<bool>() ? Outcome::kComplete
                                                         : Outcome::kPartial;
@@ -43,6 +44,18 @@
   return sample;
 }
 
+std::string KindOfResponse(const Response& response) {
+  if (response.status == 0) {
+    return "no response: " + response.failure;
+  }
+  const Json body = Json::parse(response.body, nullptr, false);
+  std::string kind = std::to_string(response.status);
+  if (body.is_object() && body.contains("error")) {
+    kind += " " + body["error"].dump();
+  }
+  return kind;
+}
+
 Figures ComputeFigures(const std::vector<Sample>& samples,
                        Duration from,
                        Duration to) {
--- a/src/testing/load/figures.h
+++ b/src/testing/load/figures.h
@@ -29,6 +29,7 @@
   Duration deadline{0};
   Outcome outcome = Outcome::kError;
   double coverage = 0;  // Share of records, as stated.
+  uint32_t groups = 0;  // Shard groups asked, as stated; 0 if not stated.
 };
 
 // `warm_up` is subtracted from the times. A body that cannot be read counts as
@@ -37,6 +38,10 @@
                 const Response& response,
                 Duration warm_up);
 
+// Short text that tells kinds of responses apart: the HTTP status with the
+// error code, or why no response came.
+std::string KindOfResponse(const Response& response);
+
 struct Figures {
   size_t requests = 0;
   // Latency of all requests that were not refused, errors included: a lost
--- a/src/testing/load/run_result.cc
+++ b/src/testing/load/run_result.cc
@@ -129,6 +129,7 @@
           {"busy_own", result.busy.own},
           {"bounds", bounds},
           {"findings", findings},
+          {"responses", result.responses},
           {"samples", SamplesToJson(result.samples)}};
 }
 
@@ -145,6 +146,7 @@
   result.runs_checked = json.at("runs_checked").get<size_t>();
   result.busy = {json.at("busy_machine").get<double>(),
                  json.at("busy_own").get<double>()};
+  result.responses = json.value("responses", std::map<std::string, size_t>());
   for (const Json& bound : json.at("bounds")) {
     result.bounds.push_back(BoundFromJson(bound));
   }
--- a/src/testing/load/run_result.h
+++ b/src/testing/load/run_result.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -39,6 +40,8 @@
   std::vector<BoundValue> bounds;
   std::vector<Finding> findings;  // The first ones.
   std::vector<Sample> samples;
+  // Responses of each kind, all streams and the warm-up included.
+  std::map<std::string, size_t> responses;
 };
 
 nlohmann::json ToJson(const RunResult& result);
--- a/src/testing/load/scenario_run.cc
+++ b/src/testing/load/scenario_run.cc
@@ -89,9 +89,12 @@
   for (size_t i = 0; i < requests.size(); ++i) {
     if (samples[i].at >= Duration(0) &&
         samples[i].outcome != Outcome::kRefused && !requests[i].repeated) {
-      needed += requests[i].kind == RequestKind::kSearch
-                    ? options.sizes.at(requests[i].index_set).groups
-                    : 1;
+      // The number of groups changes when an index set is repartitioned.
+      const uint32_t groups =
+          requests[i].kind == RequestKind::kSearch
+              ? options.sizes.at(requests[i].index_set).groups
+              : 1;
+      needed += samples[i].groups > 0 ? samples[i].groups : groups;
     }
   }
   return needed;
@@ -157,6 +160,7 @@
     for (size_t i = 0; i < m_requests.size(); ++i) {
       m_samples.push_back(
           ToSample(m_requests[i], m_responses[i], m_scenario.warm_up));
+      ++m_result.responses[KindOfResponse(m_responses[i])];
       if (m_scenario.loads[m_requests[i].stream].measured &&
           m_requests[i].instance < 0) {
         m_input.samples.push_back(m_samples.back());
