Bound the time for which a refusal keeps a server out

Cause: a server that refuses for overload names whole seconds in Retry-After, and the tier avoided it for that long. When both servers of a group had refused once, the group was out for the whole default deadline. Change: a refusal keeps a server out for 20 ms at most, in the server table and in the delay of a retry.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -96,7 +96,10 @@
 // Time for which a server that refused for overload is avoided, if it named
 // none itself, and the longest time that it may name.
 inline constexpr Duration kOverloadBackoff = milliseconds(5);
-inline constexpr Duration kMaxOverloadBackoff = seconds(1);
+// Retry-After counts whole seconds, as long as a usual deadline, but a server
+// with a few slots is free again after a few service times. With a longest time
+// of 1 s a group whose servers had both refused once missed every answer.
+inline constexpr Duration kMaxOverloadBackoff = milliseconds(20);
 
 // --- Admission ---
 // Capacity of a pool until it is set, in whole requests.
--- a/src/decision/query/query.cc
+++ b/src/decision/query/query.cc
@@ -219,7 +219,8 @@
   std::vector<ServerId> asked = part.tried;
   asked.insert(asked.end(), part.unable.begin(), part.unable.end());
   if (CoversAllServers(GroupOf(part), asked)) {
-    delay = std::max(delay, reply.retry_after.value_or(Duration(0)));
+    const Duration named = reply.retry_after.value_or(Duration(0));
+    delay = std::max(delay, std::min(named, config::kMaxOverloadBackoff));
   }
   part.state = PartState::kBackingOff;
   SetWake(index, now + delay);
