Split the listener's conversions off and take the demo's lost server from the searched set

The demo took away the last server of the settings file, which for clerks holds another index set than the one searched, so the loss was not shown.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -105,6 +105,14 @@
 PY
 }
 
+# first_server INDEX_SET: address of one server, from the list on standard input.
+first_server() {
+  python3 -c 'import json, sys
+servers = json.load(sys.stdin)
+servers = servers["servers"] if isinstance(servers, dict) else servers
+print(next(s["server"] for s in servers if s["index_set"] == sys.argv[1]))' "$1"
+}
+
 # set_lost SELECTOR true|false: takes backend servers away or brings them back.
 set_lost() {
   curl -fsS "http://$control/faults" \
@@ -162,7 +170,7 @@
   operation "$company" "$team" "$desk"
 
   local server
-  server=$(grep -o "\"[0-9.:]*@" "$work/$company-$team.toml" | tail -1 | tr -d '"@')
+  server=$(curl -fsS "http://$control/servers" | first_server "$set")
   set_lost "{\"server\":\"$server\"}" true
   ask "$company: search with one backend server lost" \
     "a['coverage']['complete'];a['coverage']['groups_covered'] == $groups" \
--- a/src/runtime/http_listener.cc
+++ b/src/runtime/http_listener.cc
@@ -13,6 +13,7 @@
 #include <stdexcept>
 
 #include "runtime/close_watcher.h"
+#include "runtime/mhd_message.h"
 #include "runtime/socket_address.h"
 
 namespace wasabihook {
@@ -29,39 +30,6 @@
 // connection before the caller reads it.
 constexpr uint64_t kDiscardFactor = 8;
 
-MHD_Result CollectValue(void* into,
-                        MHD_ValueKind /*kind*/,
-                        const char* key,
-                        size_t key_size,
-                        const char* value,
-                        size_t value_size) {
-  static_cast<HttpHeaders*>(into)->emplace_back(
-      std::string(key, key_size),
-      value == nullptr ? std::string() : std::string(value, value_size));
-  return MHD_YES;
-}
-
-void FreeString(void* text) {
-  delete static_cast<std::string*>(text);
-}
-
-MHD_Response* MakeResponse(HttpResponse&& response, bool close) {
-  auto* body = new std::string(std::move(response.body));
-  MHD_Response* out = MHD_create_response_from_buffer_with_free_callback_cls(
-      body->size(), body->data(), &FreeString, body);
-  if (out == nullptr) {
-    delete body;
-    return nullptr;
-  }
-  MHD_add_response_header(out, MHD_HTTP_HEADER_CONTENT_TYPE,
-                          response.content_type.c_str());
-  for (const auto& [name, value] : response.headers)
-    MHD_add_response_header(out, name.c_str(), value.c_str());
-  if (close)
-    MHD_add_response_header(out, MHD_HTTP_HEADER_CONNECTION, "close");
-  return out;
-}
-
 }  // namespace
 
 class HttpListener::Impl : public std::enable_shared_from_this<Impl> {
--- /dev/null
+++ b/src/runtime/mhd_message.h
@@ -0,0 +1,27 @@
+#ifndef SRC_RUNTIME_MHD_MESSAGE_H_
+#define SRC_RUNTIME_MHD_MESSAGE_H_
+
+// PRIVATE HEADER. Conversion between libmicrohttpd and our messages.
+
+#include <microhttpd.h>
+
+#include <cstddef>
+
+#include "runtime/http_listener.h"
+
+namespace wasabihook {
+
+// MHD_KeyValueIteratorN that appends to the HttpHeaders at `into`.
+MHD_Result CollectValue(void* into,
+                        MHD_ValueKind kind,
+                        const char* key,
+                        size_t key_size,
+                        const char* value,
+                        size_t value_size);
+
+// Null if out of memory. With `close` the connection ends after the response.
+MHD_Response* MakeResponse(HttpResponse&& response, bool close);
+
+}  // namespace wasabihook
+
+#endif  // SRC_RUNTIME_MHD_MESSAGE_H_
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -88,7 +88,8 @@
     std::promise<StoreStatus> written;
     m_platform.CompareAndSwap(
         "settings/teams/sales-desk", Revision(0),
-        "[team]\nname = \"sales-desk\"\n[deadlines]\ndefault_deadline_ms = 10000\n"
+        "[team]\nname = \"sales-desk\"\n[deadlines]\ndefault_deadline_ms = "
+        "10000\n"
         "max_deadline_ms = 60000\n"
         "[index_sets.sales-lookup]\nindex_version = 1\nmap_version = 1\n"
         "[[index_sets.sales-lookup.groups]]\nid = \"g0\"\nrecords = 10\n"
--- a/tests/runtime_test.cc
+++ b/tests/runtime_test.cc
@@ -2,12 +2,15 @@
 #include <signal.h>
 #include <spdlog/sinks/ostream_sink.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
 
+#include "runtime/limits.h"
 #include "runtime/logging.h"
 #include "runtime/signal_watcher.h"
 #include "runtime/thread_timer_service.h"
@@ -114,6 +117,21 @@
   EXPECT_EQ(ran, kThreads * kTimers);
 }
 
+// Guards against instances that together admit less or far more than the
+// servers take.
+TEST(PoolCapacity, DividesTheSmallestGroup) {
+  IndexSetSnapshot snapshot;
+  snapshot.shape.slots = 2;
+  snapshot.groups = {
+      {ShardGroupId("a"), 1, {{ServerId("1:1"), {}}}},
+      {ShardGroupId("b"), 1, {{ServerId("2:1"), {}}, {ServerId("3:1"), {}}}}};
+  const uint32_t places = 2 + config::kServerQueue;
+  EXPECT_EQ(PoolCapacity(snapshot, 1), places);
+  EXPECT_EQ(PoolCapacity(snapshot, 0), places);
+  EXPECT_EQ(PoolCapacity(snapshot, 3), (places + 2) / 3);
+  EXPECT_EQ(PoolCapacity(snapshot, 1000), 1U);
+}
+
 // Guards against log lines that are not valid JSON, whatever a field holds.
 TEST(Logging, EveryLineIsOneJsonObject) {
   std::ostringstream out;
