Bound the digests that a burst of changes causes

Each change made every instance send news after 20 ms, up to 60 rounds a second in a burst. Rounds are now at least 200 ms apart; a single change is passed on as fast as before.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -240,6 +240,9 @@
 // gathered first.
 inline constexpr uint32_t kNewsFanout = 3;
 inline constexpr Duration kNewsDelay = milliseconds(20);
+// Least time between two rounds of news; bounds the digests in a burst of
+// changes.
+inline constexpr Duration kMinNewsGap = milliseconds(200);
 // One in this many digest responses lists all revisions, though the sender only
 // needs the newer ones; repairs a gap below the greatest revision.
 inline constexpr uint32_t kFullListPeriod = 8;
--- a/src/decision/settings/peer_exchange.cc
+++ b/src/decision/settings/peer_exchange.cc
@@ -98,20 +98,24 @@
 }
 
 void PeerExchange::SpreadNews() {
+  Duration delay = Jittered(config::kNewsDelay, m_deps.random);
   {
     std::lock_guard lock(m_mutex);
     if (m_news_due) {
       return;
     }
     m_news_due = true;
+    const Duration since = m_deps.timers->Now() - m_news_at;
+    delay = std::max(delay, config::kMinNewsGap - since);
   }
-  Run(Jittered(config::kNewsDelay, m_deps.random), &PeerExchange::SendNews);
+  Run(delay, &PeerExchange::SendNews);
 }
 
 void PeerExchange::SendNews() {
   {
     std::lock_guard lock(m_mutex);
     m_news_due = false;
+    m_news_at = m_deps.timers->Now();
   }
   const std::vector<std::string> here = Peers(true);
   std::set<std::string> targets = {PickOne(Peers(false))};
--- a/src/decision/settings/peer_exchange.h
+++ b/src/decision/settings/peer_exchange.h
@@ -11,6 +11,7 @@
 
 #include "decision/membership/membership.h"
 #include "decision/settings/settings_registry.h"
+#include "wasabihook/config.h"
 #include "wasabihook/peer.h"
 #include "wasabihook/random_source.h"
 #include "wasabihook/timer_service.h"
@@ -84,6 +85,8 @@
   mutable std::mutex m_mutex;
   uint64_t m_rounds = 0;
   bool m_news_due = false;
+  // When news was sent last.
+  TimePoint m_news_at{-config::kMinNewsGap};
   std::optional<TimePoint> m_answered_at;
   // Peers with an exchange under way, and whether another shall follow.
   std::map<std::string, bool> m_exchanging;
