Let the oracle expect no searched records of operations

A trial with the daemon of work/daemon, where operations run, gave 188 findings of false coverage in healthy: the oracle expected an operation to cover its group's records. docs/caller-api.md defines the counts as records searched, and an operation searches none, so the check was wrong. It now requires exactly 0 records and one run on record, which was not checked before.

--- a/tests/load_oracle_test.cc
+++ b/tests/load_oracle_test.cc
@@ -195,6 +195,25 @@
               ElementsAre(Wrong::kRanTwice));
 }
 
+// Guards against operations that claim to have searched records.
+TEST(Oracle, OperationsCoverTheirGroupAndNoRecords) {
+  const LoadRequest operation = Request(RequestKind::kOperation);
+  const RunRecord run = RunIn("b", kNow, RequestKind::kOperation);
+  Json body = Whole();
+  body["coverage"] = {{"groups_asked", 1},
+                      {"groups_covered", 1},
+                      {"records_asked", 0},
+                      {"records_covered", 0},
+                      {"missing_groups", Json::array()},
+                      {"complete", true}};
+  EXPECT_THAT(Check(operation, 200, body.dump(), {run}), IsEmpty());
+  EXPECT_THAT(Check(operation, 200, body.dump(), {}),
+              ElementsAre(Wrong::kNeverRan));
+  body["coverage"]["records_covered"] = 20;
+  EXPECT_THAT(Check(operation, 200, body.dump(), {run}),
+              ElementsAre(Wrong::kFalseCoverage));
+}
+
 // Guards against a fetch that is checked against the wrong group.
 TEST(Oracle, ChecksFetchesAgainstTheirGroup) {
   const LoadRequest fetch = Request(RequestKind::kFetch);
