--- a/src/runtime/thread_timer_service.cc
+++ b/src/runtime/thread_timer_service.cc
@@ -140,7 +140,8 @@
   if (!entry.period)
     return;
   if (m_due_by_id.contains(id)) {
-    Enqueue(id, Now() + *entry.period, std::move(entry));
+    const TimePoint due = Now() + *entry.period;
+    Enqueue(id, due, std::move(entry));
     return;
   }
   lock.unlock();
