--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -96,7 +96,10 @@
 // Time for which a server that refused for overload is avoided, if it named
 // none itself, and the longest time that it may name.
 inline constexpr Duration kOverloadBackoff = milliseconds(5);
-inline constexpr Duration kMaxOverloadBackoff = seconds(1);
+// Retry-After counts whole seconds, as long as a usual deadline, but a server
+// with a few slots is free again after a few service times. With a longest time
+// of 1 s a group whose servers had both refused once missed every answer.
+inline constexpr Duration kMaxOverloadBackoff = milliseconds(20);
 
 // --- Admission ---
 // Capacity of a pool until it is set, in whole requests.
@@ -105,8 +108,10 @@
 // Latency over the pool's baseline from which its limit shrinks.
 inline constexpr double kAdmissionLatencyFactor = 2.0;
 // A queue whose oldest request has waited longer than the target for a whole
-// interval serves the newest request first.
-inline constexpr Duration kQueueTarget = milliseconds(10);
+// interval serves the newest request first and refuses what waits longer than
+// the target, so that a refusal under overload takes less than 20 ms. A request
+// never waits longer than the interval.
+inline constexpr Duration kQueueTarget = milliseconds(15);
 inline constexpr Duration kQueueInterval = milliseconds(100);
 
 // --- Replica choice ---
@@ -137,6 +142,9 @@
 // Time without a reply byte after which a connection is checked, if the caller
 // of the transport gives no expected time.
 inline constexpr Duration kProgressTimeout = milliseconds(250);
+// Connections to one server opened within this time count as equally old: a
+// fan-out opens several at once, and an answer on one speaks for the others.
+inline constexpr Duration kSameAge = milliseconds(100);
 inline constexpr Duration kProbeTimeout = milliseconds(500);
 inline constexpr Duration kCancelTimeout = milliseconds(250);
 // Unacknowledged data older than this breaks a backend connection.
@@ -256,6 +264,9 @@
 // gathered first.
 inline constexpr uint32_t kNewsFanout = 3;
 inline constexpr Duration kNewsDelay = milliseconds(20);
+// Least time between two rounds of news; bounds the digests in a burst of
+// changes.
+inline constexpr Duration kMinNewsGap = milliseconds(200);
 // One in this many digest responses lists all revisions, though the sender only
 // needs the newer ones; repairs a gap below the greatest revision.
 inline constexpr uint32_t kFullListPeriod = 8;
@@ -267,7 +278,7 @@
 inline constexpr Duration kInstanceListPeriod = seconds(1);
 // Bounds the traffic of reading the list: the period grows with the number of
 // instances, each of which takes this many bytes.
-inline constexpr size_t kInstanceListBytesPerSecond = 8192;
+inline constexpr size_t kInstanceListBytesPerSecond = 4096;
 inline constexpr size_t kListedInstanceBytes = 128;
 // Time between two announcements of one instance, and the announcements of all
 // instances together per second, whichever is slower.
--- a/src/runtime/daemon_parts.cc
+++ b/src/runtime/daemon_parts.cc
@@ -6,6 +6,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "decision/settings/settings_parser.h"
 #include "runtime/limits.h"
 #include "runtime/logging.h"
 
@@ -117,6 +118,7 @@
   StartMembership(config);
   StartSync(config);
   StartAggregator();
+  StartCleaner();
   serves_peers = true;
 }
 
@@ -126,6 +128,7 @@
   settings.Unsubscribe(m_settings_subscription);
   if (membership)
     membership->Unsubscribe(m_members_subscription);
+  cleaner.reset();
   aggregator.reset();
   sync.reset();
   // Callbacks of timers use the parts, so they end before any part does.
@@ -203,6 +206,35 @@
   aggregator->Start();
 }
 
+void DaemonParts::StartCleaner() {
+  cleaner = std::make_unique<ClaimCleaner>(ClaimCleanerDeps{
+      .timers = &timers,
+      .store = &platform,
+      .self = membership->self().instance,
+      .live_instances =
+          [members = membership] {
+            std::vector<std::string> live;
+            for (const Member& member : *members->Members()) {
+              if (member.state == MemberState::kLive)
+                live.push_back(member.identity.instance.value());
+            }
+            return live;
+          },
+      .teams = [this] { return TeamsToClean(); }});
+}
+
+std::vector<ClaimCleanerDeps::Team> DaemonParts::TeamsToClean() const {
+  std::vector<ClaimCleanerDeps::Team> teams;
+  for (const SubtreeStatus& status : settings.Status()) {
+    if (!status.subtree.starts_with(kTeamSubtreePrefix))
+      continue;
+    const TeamId id(status.subtree.substr(kTeamSubtreePrefix.size()));
+    if (const TeamSettingsPtr team = settings.Team(id))
+      teams.push_back({id, team->claim_retention});
+  }
+  return teams;
+}
+
 void DaemonParts::UpdateLimits() {
   ApplyLimits({&settings, servers.get(), admission.get(), &transport},
               membership->Counts());
--- a/src/runtime/daemon_parts.h
+++ b/src/runtime/daemon_parts.h
@@ -9,6 +9,7 @@
 #include "decision/burn/burn_aggregator.h"
 #include "decision/burn/burn_counters.h"
 #include "decision/membership/membership.h"
+#include "decision/operations/claim_cleaner.h"
 #include "decision/operations/claim_store.h"
 #include "decision/operations/quarantine.h"
 #include "decision/routing/admission_controller.h"
@@ -60,12 +61,15 @@
   std::shared_ptr<Membership> membership;
   std::unique_ptr<SettingsSync> sync;
   std::unique_ptr<BurnAggregator> aggregator;
+  std::unique_ptr<ClaimCleaner> cleaner;
 
  private:
   PeerResponse HandlePeer(const PeerRequest& request);
   void StartMembership(const StartConfig& config);
   void StartSync(const StartConfig& config);
   void StartAggregator();
+  void StartCleaner();
+  std::vector<ClaimCleanerDeps::Team> TeamsToClean() const;
   void UpdateLimits();
   PeerNotices Notices() const;
   void OnNotices(const PeerNotices& notices);
--- a/tests/server_table_test.cc
+++ b/tests/server_table_test.cc
@@ -329,6 +329,30 @@
   EXPECT_TRUE(Status(ServerId("a")).slow_start);
 }
 
+// Guards against instances that keep a drain mark alive for ever by telling
+// each other about it.
+TEST_F(ServerTableTest, PeersThatRepeatEachOtherFallSilent) {
+  const ShardGroup group = Group({"a"});
+  auto other = ServerTable::Create(&m_timers, MakeRandomSource(2));
+  const auto is_draining = [](const ServerTable& table) {
+    const std::vector<ServerStatus> status = table.Status();
+    return !status.empty() && status.front().draining;
+  };
+  m_table->MarkDraining(ServerId("a"), DrainSource::kServer);
+  for (int i = 0; i < 400; ++i) {
+    if (is_draining(*m_table)) {
+      other->MarkDraining(ServerId("a"), DrainSource::kPeer);
+    }
+    if (is_draining(*other)) {
+      m_table->MarkDraining(ServerId("a"), DrainSource::kPeer);
+    }
+    m_timers.Advance(milliseconds(500));
+  }
+  EXPECT_FALSE(is_draining(*m_table) || is_draining(*other));
+  other->MarkDraining(ServerId("a"), DrainSource::kPeer);
+  EXPECT_TRUE(is_draining(*other)) << "a later drain is reported again";
+}
+
 // Guards against a misleading report of all servers that darkens a group.
 TEST_F(ServerTableTest, ReportedDrainOfServingServerIsLastResort) {
   const ShardGroup group = Group({"a", "b"});
@@ -403,6 +427,24 @@
   EXPECT_EQ(Run(group), server);
 }
 
+// Guards against a group that misses every answer for a second because both of
+// its servers refused once and named the least time that Retry-After can.
+TEST_F(ServerTableTest, RefusalOfWholeSecondsDoesNotBlockTheGroup) {
+  const ShardGroup group = Group({"a", "b"});
+  PassSlowStart(group);
+  SubReply refusal;
+  refusal.outcome = SubOutcome::kOverloaded;
+  refusal.retry_after = std::chrono::seconds(1);
+  for (int i = 0; i < 2; ++i) {
+    const auto server = Acquire(group);
+    ASSERT_TRUE(server);
+    m_table->Release(*server, refusal, milliseconds(1));
+  }
+  EXPECT_FALSE(Acquire(group));
+  m_timers.Advance(config::kMaxOverloadBackoff);
+  EXPECT_TRUE(Acquire(group));
+}
+
 // Guards against memory that grows with every server that ever existed, and
 // against forgetting one with work in flight.
 TEST_F(ServerTableTest, ForgetsServersThatNoSnapshotLists) {
