--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -20,8 +20,8 @@
 inline constexpr Duration kDefaultDeadline = milliseconds(1000);
 inline constexpr Duration kMaxDeadline = seconds(10);
 inline constexpr Duration kSoftDeadline = milliseconds(200);
-inline constexpr size_t kMaxBodyBytes = 256 * 1024;
-inline constexpr size_t kMaxHeaderBytes = 16 * 1024;
+inline constexpr size_t kMaxBodyBytes = size_t{256} * 1024;
+inline constexpr size_t kMaxHeaderBytes = size_t{16} * 1024;
 inline constexpr uint32_t kMaxCallerConnections = 1024;
 inline constexpr Duration kCallerIdleTimeout = seconds(30);
 inline constexpr Duration kCallerBodyTimeout = seconds(30);
@@ -132,7 +132,7 @@
 // --- Backend connections ---
 inline constexpr Duration kConnectTimeout = milliseconds(250);
 inline constexpr Duration kBackendIdleTimeout = seconds(60);
-inline constexpr size_t kMaxBackendReplyBytes = 8 * 1024 * 1024;
+inline constexpr size_t kMaxBackendReplyBytes = size_t{8} * 1024 * 1024;
 // Share of a server's connections kept free for instances that arrive before
 // those they replace have closed theirs.
 inline constexpr Fraction kConnectionReserve{0.25};
@@ -296,7 +296,7 @@
 // Platform calls for settings and membership, per data centre and second.
 inline constexpr uint32_t kPlatformCallsPerSecond = 100;
 inline constexpr uint32_t kRememberedChangeIds = 16;
-inline constexpr size_t kMaxSettingsBytes = 1024 * 1024;
+inline constexpr size_t kMaxSettingsBytes = size_t{1024} * 1024;
 
 // --- Calls between instances ---
 inline constexpr Duration kPeerCallTimeout = milliseconds(1000);
--- a/programs/wasabihook-fake-backends/main.cc
+++ b/programs/wasabihook-fake-backends/main.cc
@@ -86,6 +86,9 @@
   TCLAP::ValueArg<double> crash_return("", "crash-return-ms",
                                        "Time until a crashed server is back",
                                        false, 2000, "MS", line);
+  TCLAP::ValueArg<uint64_t> keep_runs(
+      "", "keep-runs", "Runs of reads that the log keeps", false,
+      testing::RunLog::kDefaultKeptReads, "COUNT", line);
   line.parse(argc, argv);
 
   const TopologyDefaults defaults{records.getValue(), queue.getValue(),
@@ -94,6 +97,7 @@
   options.fleet.base_port = port.getValue();
   options.fleet.threads = threads.getValue();
   options.fleet.seed = seed.getValue();
+  options.fleet.kept_reads = keep_runs.getValue();
   options.fleet.crash_marker = marker.getValue();
   options.fleet.crash_return = FromMs(crash_return.getValue());
   if (topology.isSet()) {
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -104,7 +104,8 @@
         backends = processes.start(
             "backends", [binaries / "wasabihook-fake-backends",
                          "--topology", topology, "--threads", 2,
-                         "--crash-return-ms", 600000] + common,
+                         "--crash-return-ms", 600000,
+                         "--keep-runs", 1000000] + common,
             stdout=subprocess.PIPE)
         ready = json.loads(backends.stdout.readline())
         addresses = [free_addresses(3) for _ in range(INSTANCES)]
--- a/src/decision/query/query_tier_core.cc
+++ b/src/decision/query/query_tier_core.cc
@@ -111,8 +111,14 @@
   }
   m_context.bodies.Remove(attempt.server, attempt.id);
   deps.servers->Release(attempt.server, reply, latency);
-  if (reply.outcome == SubOutcome::kOk) {
+  if (reply.outcome == SubOutcome::kOk ||
+      reply.outcome == SubOutcome::kCancelled ||
+      reply.outcome == SubOutcome::kTimedOut) {
+    // Without the losers of hedges the learned delay would drift down, since
+    // only the quicker replica would count.
     deps.hedging->Observe(attempt.group, latency);
+  }
+  if (reply.outcome == SubOutcome::kOk) {
     deps.quarantine->ReportSuccess(attempt.body.team, attempt.body.fingerprint,
                                    attempt.server);
   }
--- a/src/runtime/daemon_parts.cc
+++ b/src/runtime/daemon_parts.cc
@@ -244,7 +244,9 @@
   PeerNotices notices;
   notices.quarantine = quarantine.Entries();
   for (const ServerStatus& status : servers->Status()) {
-    if (status.draining)
+    // A mark learned from a peer is not passed on, so that instances do not
+    // keep each other's marks alive.
+    if (status.draining && status.drain_source != DrainSource::kPeer)
       notices.draining_servers.push_back(status.id);
   }
   return notices;
--- a/src/testing/fake_backends/control_server.cc
+++ b/src/testing/fake_backends/control_server.cc
@@ -18,6 +18,8 @@
                   {"server", run.server},
                   {"index_set", run.index_set},
                   {"request_id", run.request_id},
+                  {"group", run.group},
+                  {"payload", run.payload},
                   {"index_version", run.index_version},
                   {"map_version", run.map_version}};
     if (!run.idempotency_key.empty()) {
--- a/src/testing/fake_backends/fake_fleet.cc
+++ b/src/testing/fake_backends/fake_fleet.cc
@@ -62,7 +62,8 @@
   return selector;
 }
 
-FakeFleet::FakeFleet(FakeFleetOptions options) : m_options(std::move(options)) {
+FakeFleet::FakeFleet(FakeFleetOptions options)
+    : m_options(std::move(options)), m_log(m_options.kept_reads) {
   for (uint32_t i = 0; i < std::max(m_options.threads, 1U); ++i) {
     m_loops.push_back(std::make_unique<EventLoop>());
   }
--- a/src/testing/fake_backends/fake_fleet.h
+++ b/src/testing/fake_backends/fake_fleet.h
@@ -40,6 +40,8 @@
   uint64_t seed = 1;
   std::string crash_marker;
   Duration crash_return = std::chrono::seconds(2);
+  // Runs of reads that the log keeps.
+  size_t kept_reads = RunLog::kDefaultKeptReads;
 };
 
 struct FakeServerInfo {
--- a/src/testing/fake_backends/fake_server.cc
+++ b/src/testing/fake_backends/fake_server.cc
@@ -227,13 +227,16 @@
 void FakeServer::StartWork(std::unique_ptr<Work> work) {
   ++m_stats.started;
   if (m_options.log) {
-    m_options.log->Add({.kind = work->kind,
-                        .server = address(),
-                        .index_set = m_options.index_set,
-                        .request_id = work->request_id,
-                        .idempotency_key = work->idempotency_key,
-                        .index_version = work->index_version,
-                        .map_version = work->map_version});
+    m_options.log->Add(
+        {.kind = work->kind,
+         .server = address(),
+         .index_set = m_options.index_set,
+         .request_id = work->request_id,
+         .group = work->group_id,
+         .payload = work->kind == "fetch" ? work->record_key : work->text,
+         .idempotency_key = work->idempotency_key,
+         .index_version = work->index_version,
+         .map_version = work->map_version});
   }
   if (!m_options.crash_marker.empty() &&
       work->text.find(m_options.crash_marker) != std::string::npos) {
--- a/src/testing/fake_backends/run_log.cc
+++ b/src/testing/fake_backends/run_log.cc
@@ -3,11 +3,6 @@
 #include <utility>
 
 namespace wasabihook::testing {
-namespace {
-
-constexpr size_t kKeptReads = 20000;
-
-}  // namespace
 
 void RunLog::Add(Run run) {
   std::lock_guard lock(m_mutex);
@@ -15,7 +10,7 @@
     m_operations.push_back(std::move(run));
     return;
   }
-  if (m_reads.size() >= kKeptReads) {
+  if (m_reads.size() >= m_kept_reads) {
     m_reads.pop_front();
   }
   m_reads.push_back(std::move(run));
--- a/tests/settings_world.h
+++ b/tests/settings_world.h
@@ -95,7 +95,9 @@
                          .registry = node->registry.get(),
                          .membership = node->membership,
                          .random = m_random,
-                         .seed_peers = {"127.0.0.1:7000", "127.0.0.2:7000"}});
+                         .seed_peers = {"127.0.0.1:7000", "127.0.0.2:7000"},
+                         .notices = {},
+                         .on_notices = {}});
     node->registry->Subscribe([node = node.get()](const SettingsChange& c) {
       Revision& applied = node->applied[c.subtree];
       node->went_back |= c.revision <= applied;
