--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -194,6 +194,15 @@
   echo "--- $1: all instances drained"
 }
 
+# Shows the service-level report of the counts that the drained instances left
+# in the platform's store.
+show_report() {
+  echo "--- $1: service-level report (page: $build/demo-report-$1.html)"
+  "$build/wasabihookctl" report --platform "$platform"
+  "$build/wasabihookctl" report --platform "$platform" --format html \
+    --output "$build/demo-report-$1.html"
+}
+
 # put_settings COMPANY TEAM: lowers the least coverage, so that a lost group of
 # the small stand-in gives a partial answer, and writes the settings.
 put_settings() {
@@ -215,6 +224,7 @@
 put_settings brightrim warehouse
 tour brightrim sales-desk sales-lookup 4 returns-desk
 drain_instances brightrim
+show_report brightrim
 
 echo "=== Abay Dental Systems PLC (small stand-in)"
 start_platform abay
@@ -227,4 +237,5 @@
 put_settings abay couriers
 tour abay clerks counter-desk 4 recall-notes
 drain_instances abay
+show_report abay
 echo "demo: all as expected"
