Pass a new quarantine entry on at once

Cause: an instance told its peers of a quarantined body, but a peer passed it on only with its periodic digests, so a repeated send through an instance that had not heard of it could crash the other servers of the groups. Change: an instance that learns of an entry from a peer spreads it as news.

--- a/src/decision/operations/quarantine.cc
+++ b/src/decision/operations/quarantine.cc
@@ -227,4 +227,19 @@
   }
 }
 
+bool MergeEntries(Quarantine* quarantine,
+                  const std::vector<QuarantineEntry>& entries) {
+  bool added = false;
+  for (const QuarantineEntry& entry : entries) {
+    const auto quarantined = [&] {
+      return quarantine->Check(entry.team, entry.fingerprint) ==
+             Suspicion::kQuarantined;
+    };
+    const bool known = quarantined();
+    quarantine->Merge(entry);
+    added |= !known && quarantined();
+  }
+  return added;
+}
+
 }  // namespace wasabihook
--- a/src/decision/operations/quarantine.h
+++ b/src/decision/operations/quarantine.h
@@ -77,6 +77,11 @@
   std::function<void(QuarantineEntry)> m_on_added;
 };
 
+// Merges entries of another instance. True if any of them was not known, so
+// that it should be passed on at once: a re-send may reach any instance next.
+bool MergeEntries(Quarantine* quarantine,
+                  const std::vector<QuarantineEntry>& entries);
+
 }  // namespace wasabihook
 
 #endif  // SRC_DECISION_OPERATIONS_QUARANTINE_H_
--- a/src/decision/settings/peer_exchange.cc
+++ b/src/decision/settings/peer_exchange.cc
@@ -232,7 +232,9 @@
   if (const auto* digest = std::get_if<DigestRequest>(&request)) {
     m_deps.membership->ObserveMessage(digest->from, digest->leaving);
     if (!digest->quarantine.empty() || !digest->draining_servers.empty()) {
-      m_deps.on_notices({digest->quarantine, digest->draining_servers});
+      if (m_deps.on_notices({digest->quarantine, digest->draining_servers})) {
+        SpreadNews();
+      }
     }
     DigestResponse response = HandleDigest(*digest);
     Chase(*digest);
--- a/src/decision/settings/peer_exchange.h
+++ b/src/decision/settings/peer_exchange.h
@@ -37,7 +37,8 @@
   // as the watchers when this instance stands in for them; may be empty.
   std::function<std::vector<std::string>()> preferred_peers;
   std::function<PeerNotices()> notices;
-  std::function<void(const PeerNotices&)> on_notices;
+  // True if the notices held something new that peers should learn at once.
+  std::function<bool(const PeerNotices&)> on_notices;
 };
 
 // Spreads settings between instances: a digest to a random peer of the own and
--- a/src/decision/settings/settings_sync.cc
+++ b/src/decision/settings/settings_sync.cc
@@ -93,8 +93,9 @@
        },
        .notices =
            m_deps.notices ? m_deps.notices : [] { return PeerNotices{}; },
-       .on_notices =
-           m_deps.on_notices ? m_deps.on_notices : [](const PeerNotices&) {}});
+       .on_notices = m_deps.on_notices
+                         ? m_deps.on_notices
+                         : [](const PeerNotices&) { return false; }});
   m_settings_subscription = registry->Subscribe(
       [weak = std::weak_ptr(m_exchange), watch = std::weak_ptr(m_watch),
        membership, registry](const SettingsChange& change) {
--- a/src/decision/settings/settings_sync.h
+++ b/src/decision/settings/settings_sync.h
@@ -26,9 +26,10 @@
   RandomSource random;
   // Peers to call while no other is known, "ip:port".
   std::vector<std::string> seed_peers;
-  // What to tell peers, and what peers told; both may be empty.
+  // What to tell peers, and what peers told; both may be empty. The latter
+  // returns true if it held something new that peers should learn at once.
   std::function<PeerNotices()> notices;
-  std::function<void(const PeerNotices&)> on_notices;
+  std::function<bool(const PeerNotices&)> on_notices;
 };
 
 struct SettingsSyncStatus {
--- a/src/runtime/daemon_parts.cc
+++ b/src/runtime/daemon_parts.cc
@@ -173,7 +173,7 @@
       .seed_peers = config.seeds,
       .notices = [this] { return Notices(); },
       .on_notices =
-          [this](const PeerNotices& notices) { OnNotices(notices); }});
+          [this](const PeerNotices& notices) { return OnNotices(notices); }});
   quarantine.SetOnAdded([this](const QuarantineEntry& entry) {
     Log(LogLevel::kWarning, "body_quarantined",
         {{"team", entry.team.value()},
@@ -252,11 +252,10 @@
   return notices;
 }
 
-void DaemonParts::OnNotices(const PeerNotices& notices) {
-  for (const QuarantineEntry& entry : notices.quarantine)
-    quarantine.Merge(entry);
+bool DaemonParts::OnNotices(const PeerNotices& notices) {
   for (const ServerId& server : notices.draining_servers)
     servers->MarkDraining(server, DrainSource::kPeer);
+  return MergeEntries(&quarantine, notices.quarantine);
 }
 
 }  // namespace wasabihook
--- a/src/runtime/daemon_parts.h
+++ b/src/runtime/daemon_parts.h
@@ -72,7 +72,7 @@
   std::vector<ClaimCleanerDeps::Team> TeamsToClean() const;
   void UpdateLimits();
   PeerNotices Notices() const;
-  void OnNotices(const PeerNotices& notices);
+  bool OnNotices(const PeerNotices& notices);
 
   SubscriptionHandle m_settings_subscription;
   SubscriptionHandle m_members_subscription;
--- a/tests/settings_sync_test.cc
+++ b/tests/settings_sync_test.cc
@@ -28,6 +28,30 @@
   return team ? team->max_queued : 0;
 }
 
+// Guards against a quarantine that reaches some instances only by their
+// periodic digests, so that a request that crashes servers and is sent again
+// within a second through another instance crashes more of them.
+TEST(SettingsSyncTest, QuarantineReachesAllInstancesBeforeARepeatedSend) {
+  constexpr size_t kInstances = 24;
+  SettingsWorld world(11, kInstances);
+  world.Run(seconds(5));
+  const TeamId team("clerks");
+  const Fingerprint body(42);
+  CrashQuarantine& first = *world.node(0).quarantine;
+  SettingsSync* const sync = world.node(0).sync.get();
+  first.SetOnAdded([sync](const QuarantineEntry&) { sync->SpreadNews(); });
+  first.ReportCrash(ServerId("a"), {{team, body, {}}});
+  first.ReportCrash(ServerId("b"), {{team, body, {}}});
+  ASSERT_EQ(first.Check(team, body), Suspicion::kQuarantined);
+  // Well below the second after which a repeated send must be refused.
+  world.Run(std::chrono::milliseconds(300));
+  for (size_t i = 0; i < kInstances; ++i) {
+    EXPECT_EQ(world.node(i).quarantine->Check(team, body),
+              Suspicion::kQuarantined)
+        << i;
+  }
+}
+
 // Guards against changes that do not reach instances which hold no watch.
 TEST(SettingsSyncTest, ChangeIsInForceEverywhereWithinTheBound) {
   SettingsWorld world(1, 20);
--- a/tests/settings_world.h
+++ b/tests/settings_world.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "decision/membership/membership.h"
+#include "decision/operations/quarantine.h"
 #include "decision/settings/settings_registry.h"
 #include "decision/settings/settings_sync.h"
 #include "testing/fake_peer_network.h"
@@ -24,6 +25,7 @@
   std::unique_ptr<PeerTransport> transport;
   std::unique_ptr<SettingsRegistry> registry;
   std::shared_ptr<Membership> membership;
+  std::unique_ptr<CrashQuarantine> quarantine;
   std::unique_ptr<SettingsSync> sync;
   std::map<std::string, Revision> applied;
   bool went_back = false;
@@ -88,16 +90,24 @@
                                            .list = &m_platform,
                                            .random = m_random,
                                            .self = node->self});
-    node->sync = std::make_unique<SettingsSync>(
-        SettingsSyncDeps{.timers = &m_timers,
-                         .store = &m_platform,
-                         .transport = node->transport.get(),
-                         .registry = node->registry.get(),
-                         .membership = node->membership,
-                         .random = m_random,
-                         .seed_peers = {"127.0.0.1:7000", "127.0.0.2:7000"},
-                         .notices = {},
-                         .on_notices = {}});
+    node->quarantine = std::make_unique<CrashQuarantine>(&m_timers);
+    CrashQuarantine* const quarantine = node->quarantine.get();
+    node->sync = std::make_unique<SettingsSync>(SettingsSyncDeps{
+        .timers = &m_timers,
+        .store = &m_platform,
+        .transport = node->transport.get(),
+        .registry = node->registry.get(),
+        .membership = node->membership,
+        .random = m_random,
+        .seed_peers = {"127.0.0.1:7000", "127.0.0.2:7000"},
+        .notices =
+            [quarantine] {
+              return PeerNotices{quarantine->Entries(), {}};
+            },
+        .on_notices =
+            [quarantine](const PeerNotices& notices) {
+              return MergeEntries(quarantine, notices.quarantine);
+            }});
     node->registry->Subscribe([node = node.get()](const SettingsChange& c) {
       Revision& applied = node->applied[c.subtree];
       node->went_back |= c.revision <= applied;
