Retry a part lost in a crash once other groups have answered the body

Cause: every body in flight on a lost server became suspect, and a suspect part was never retried, so the loss of one server left its group out of all answers in flight. Ruled out: retrying every suspect, which could crash the last live server of a group. Change: a suspect part is held back while other groups still work on the body. Two answers show that it is harmless, since a body that crashes servers crashes each one that runs it; without them the part fails as before.

--- a/include/wasabihook/config.h
+++ b/include/wasabihook/config.h
@@ -68,6 +68,10 @@
 inline constexpr double kRetryReserve = 5.0;
 
 // --- Query engine ---
+// Groups that must answer a body in flight at a crash before it counts as
+// harmless, and how often a part that was held back looks.
+inline constexpr uint32_t kClearingAnswers = 2;
+inline constexpr Duration kSuspectRecheckDelay = milliseconds(5);
 // Wait before another try when no server of a group can take work, if no
 // release of one comes first.
 inline constexpr Duration kCapacityRetryDelay = milliseconds(5);
--- a/src/decision/query/query.cc
+++ b/src/decision/query/query.cc
@@ -106,12 +106,38 @@
 }
 
 bool Query::IsSuspect() {
-  // Once suspect, a request stays so: an entry that expires meanwhile is no
+  const Suspicion suspicion = CheckSuspicion();
+  if (suspicion != Suspicion::kQuarantined &&
+      m_coverage.groups_covered >= config::kClearingAnswers) {
+    // A body that crashes servers crashes each one that runs it, so one that
+    // several groups answered was only in flight beside the cause of the crash.
+    m_suspect = false;
+    return false;
+  }
+  // Otherwise a request stays suspect: an entry that expires meanwhile is no
   // proof of innocence.
-  m_suspect = m_suspect || CheckSuspicion() != Suspicion::kNone;
+  m_suspect = m_suspect || suspicion != Suspicion::kNone;
   return m_suspect;
 }
 
+bool Query::MayBeCleared() const {
+  return CheckSuspicion() != Suspicion::kQuarantined &&
+         std::any_of(m_parts.begin(), m_parts.end(), [](const QueryPart& part) {
+           return part.state == PartState::kAsking;
+         });
+}
+
+void Query::HoldSuspect(size_t index, TimePoint now, Actions& actions) {
+  QueryPart& part = m_parts[index];
+  if (MayBeCleared()) {
+    part.state = PartState::kBackingOff;
+    SetWake(index, now + config::kSuspectRecheckDelay);
+    return;
+  }
+  m_spared = true;
+  FailPart(index, now, actions);
+}
+
 bool Query::OnReply(const Attempt& attempt,
                     SubReply reply,
                     TimePoint now,
@@ -200,7 +226,8 @@
                           Actions& actions) {
   QueryPart& part = m_parts[index];
   if (IsSuspect()) {
-    FailPart(index, now, actions);
+    part.state = PartState::kBackingOff;
+    HoldSuspect(index, now, actions);
     return;
   }
   if (CoversAllServers(GroupOf(part), part.unable)) {
--- a/src/decision/query/query.h
+++ b/src/decision/query/query.h
@@ -100,6 +100,10 @@
   void Close(Actions& actions);
 
   bool IsSuspect();
+  // Whether answers of other groups may still show that the body is harmless.
+  bool MayBeCleared() const;
+  // Holds back a part of a suspect request while its body may be cleared.
+  void HoldSuspect(size_t index, TimePoint now, Actions& actions);
   TimePoint SoftDeadline() const;
 
   SnapshotPtr m_snapshot;
--- a/src/decision/query/query_attempts.cc
+++ b/src/decision/query/query_attempts.cc
@@ -22,8 +22,7 @@
   // The body may have crashed a server while this part waited.
   if (part.state != PartState::kUnsent && IsSuspect() &&
       (part.charge_next || MustSpare(index, StatusIfSuspect()))) {
-    m_spared = true;
-    FailPart(index, now, actions);
+    HoldSuspect(index, now, actions);
     return;
   }
   RetryBudget& budget = *m_context->deps.retry_budget;
