--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -2,6 +2,7 @@
 against them, ends them by id and prints the report."""
 
 import argparse
+import itertools
 import json
 import pathlib
 import shutil
@@ -18,16 +19,23 @@
 CRASH_MARKER = "crash-this-server"
 
 
+# Below the ports that the kernel hands out by itself (from 32768): a port found
+# free there could be taken by a connection before the daemon listens on it.
+NEXT_PORT = itertools.count(21000)
+
+
 def free_addresses(count):
     """Loopback addresses with ports that are free at the time of the call."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return ["127.0.0.1:%d" % sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    addresses = []
+    for port in NEXT_PORT:
+        if len(addresses) == count:
+            return addresses
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        addresses.append("127.0.0.1:%d" % port)
 
 
 class Processes:
