Count repeats over a sliding window and choose subsets by data centre first

Change: RepeatBudget counts first sends and repeats of the last window; Service::Subset prefers the own data centre.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -163,7 +163,7 @@
 
 void Exchange::StartPart(Part& part) {
   if (SendPart(part, false)) {
-    part.service->budget().OnFirstSend();
+    part.service->budget().OnFirstSend(m_context->loop->Now());
     return;
   }
   if (!part.service->MayRecover(part.tried))
@@ -252,7 +252,7 @@
 void Exchange::RetryPart(Part& part, AttemptOutcome outcome) {
   const bool free = outcome == AttemptOutcome::kNotSent;
   if (!MayRepeat(part, outcome) ||
-      (!free && !part.service->budget().TrySpend())) {
+      (!free && !part.service->budget().TrySpend(m_context->loop->Now()))) {
     SettlePart(part, PartState::kFailed);
     return;
   }
@@ -273,7 +273,8 @@
     part.hedge_done = true;
     return;
   }
-  if (!budget.TrySpend(budget.cap() * kRetryReserveShare))
+  if (!budget.TrySpend(m_context->loop->Now(),
+                       budget.slack() * kRetryReserveShare))
     return;
   if (SendPart(part, true)) {
     part.hedge_done = true;
@@ -299,7 +300,7 @@
     if (part.state != PartState::kWaiting)
       continue;
     if (SendPart(part, false))
-      part.service->budget().OnFirstSend();
+      part.service->budget().OnFirstSend(m_context->loop->Now());
     else if (over || !part.service->MayRecover(part.tried))
       SettlePart(part, PartState::kFailed);
   }
--- a/src/gateway/repeat_budget.h
+++ b/src/gateway/repeat_budget.h
@@ -3,7 +3,7 @@
 
 // PRIVATE HEADER.
 
-#include <algorithm>
+#include <array>
 #include <cstdint>
 
 #include "gateway/gateway_settings.h"
@@ -11,36 +11,43 @@
 namespace wasabihook::gateway {
 
 // Repeats that this instance may send to one service: hedges, retries, and
-// sends after a refusal. Every first send earns `ratio` of a token; the bucket
-// holds this instance's part of the slack. Over any span of time the repeats of
-// all instances are then at most slack + ratio x first sends.
+// sends after a refusal. In any window all instances together may send
+// slack + ratio x first sends; each takes an equal part of the slack and what
+// its own first sends earn, counted over a sliding window.
 class RepeatBudget {
  public:
-  void Configure(const ServiceBounds& bounds, uint32_t instances) {
-    m_ratio = bounds.retry_ratio * kRepeatShare;
-    m_cap = std::max(1.0, bounds.retry_slack * kRepeatShare /
-                              std::max<uint32_t>(instances, 1));
-    m_tokens = m_configured ? std::min(m_tokens, m_cap) : m_cap;
-    m_configured = true;
-  }
-  void OnFirstSend() { m_tokens = std::min(m_cap, m_tokens + m_ratio); }
-  // Takes one token if `kept` remain afterwards.
-  bool TrySpend(double kept = 0) {
-    if (m_tokens < 1 + kept)
-      return false;
-    m_tokens -= 1;
-    return true;
-  }
-  // Returns the token of a repeat that reached no server.
-  void Refund() { m_tokens = std::min(m_cap, m_tokens + 1); }
-  double tokens() const { return m_tokens; }
-  double cap() const { return m_cap; }
+  void Configure(const ServiceBounds& bounds, uint32_t instances);
+  void OnFirstSend(TimePoint now);
+  // Takes one repeat if `kept` would remain afterwards.
+  bool TrySpend(TimePoint now, double kept = 0);
+  // Returns the repeat taken last, which reached no server.
+  void Refund();
+  // Repeats that are left in the present window.
+  double Left(TimePoint now);
+  // Part of the slack that is this instance's.
+  double slack() const { return m_slack; }
 
  private:
-  bool m_configured = false;
+  // The window is counted in slices. One more slice than the window has is
+  // kept, since the oldest lies only partly within it.
+  static constexpr int64_t kSlices = 10;
+  static constexpr size_t kKeptSlices = kSlices + 1;
+  struct Slice {
+    uint32_t firsts = 0;
+    uint32_t repeats = 0;
+  };
+
+  // Drops slices that have left the window.
+  void Advance(TimePoint now);
+  Slice& Current() { return m_slices[static_cast<size_t>(m_slice) % kKeptSlices]; }
+
   double m_ratio = 0;
-  double m_cap = 1;
-  double m_tokens = 1;
+  double m_slack = 1;
+  Duration m_slice_length = std::chrono::seconds(1);
+  int64_t m_slice = 0;
+  std::array<Slice, kKeptSlices> m_slices{};
+  uint32_t m_firsts = 0;
+  uint32_t m_repeats = 0;
 };
 
 }  // namespace wasabihook::gateway
--- a/src/gateway/service.cc
+++ b/src/gateway/service.cc
@@ -41,18 +41,32 @@
   if (share < 1 && m_max_connections > 0) {
     // Fewer connections than instances: each instance uses a subset of the
     // servers that all instances agree on.
-    std::vector<std::string> ids;
-    for (const auto& server : m_servers)
-      ids.push_back(server->entry().id.value());
-    const auto used = static_cast<size_t>(
-        std::max(1.0, std::floor(share * static_cast<double>(ids.size()))));
-    for (const size_t index : RendezvousTopK(self.value(), ids, used))
-      m_preferred.emplace_back(ids[index]);
+    m_preferred = Subset(self, share);
   }
   for (const auto& server : m_servers)
     server->SetConnectionLimit(m_max_connections > 0 ? limit : 1);
 }
 
+// Servers of the own data centre come first, the others in an order that
+// differs between instances and changes little when servers come and go.
+std::vector<ServerId> Service::Subset(const InstanceId& self,
+                                      double share) const {
+  std::vector<std::string> ids;
+  for (const auto& server : m_servers)
+    ids.push_back(server->entry().id.value());
+  const auto used = static_cast<size_t>(
+      std::max(1.0, std::floor(share * static_cast<double>(ids.size()))));
+  std::vector<size_t> order = RendezvousTopK(self.value(), ids, ids.size());
+  std::stable_partition(order.begin(), order.end(), [this](size_t index) {
+    return m_servers[index]->entry().data_centre ==
+           m_context->settings->data_centre;
+  });
+  std::vector<ServerId> out;
+  for (size_t i = 0; i < std::min(used, order.size()); ++i)
+    out.emplace_back(ids[order[i]]);
+  return out;
+}
+
 bool Service::IsUsable(const BackendServer& server, TimePoint now) const {
   if (!server.HasConnection())
     return false;
--- a/src/gateway/service.h
+++ b/src/gateway/service.h
@@ -45,6 +45,7 @@
   bool MayRecover(std::span<BackendServer* const> excluded) const;
 
  private:
+  std::vector<ServerId> Subset(const InstanceId& self, double share) const;
   bool IsUsable(const BackendServer& server, TimePoint now) const;
   bool HasReadyServer() const;
   double CostOf(const BackendServer& server, TimePoint now) const;
