--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -52,7 +52,7 @@
 inline constexpr Duration kSilentFloor = milliseconds(600);
 // Cost factor of a server in another data centre: bytes between data centres
 // are charged.
-inline constexpr double kRemoteCost = 1.35;
+inline constexpr double kRemoteCost = 2.0;
 // Cost added for a stalled server and per share of failed replies, in units of
 // the latency of a usual server.
 inline constexpr double kStallCost = 50.0;
