Pass the changes of the store on between the instances of a data centre

Change: instances register with a lease and pass changes on (ChangeFeed, FeedChoice); the first working one of a data centre watches the store.

--- /dev/null
+++ b/src/gateway/change_feed.cc
@@ -0,0 +1,168 @@
+#include "gateway/change_feed.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+#include "gateway/gateway_settings.h"
+
+namespace wasabihook::gateway {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kTarget = "/changes?after=";
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kGone = 410;
+// Period at which waiting requests are looked at.
+constexpr Duration kWaiterPeriod = std::chrono::milliseconds(100);
+
+json::binary_t ToBinary(const std::string& text) {
+  return json::binary_t({text.begin(), text.end()});
+}
+
+}  // namespace
+
+std::string EncodeFeedReply(const FeedReply& reply) {
+  json changes = json::array();
+  for (const StoreItem& item : reply.changes)
+    changes.push_back({{"key", item.key},
+                       {"value", ToBinary(item.value)},
+                       {"revision", item.revision.value()},
+                       {"removed", item.removed}});
+  const json out = {{"in_contact", reply.in_contact},
+                    {"revision", reply.revision.value()},
+                    {"changes", std::move(changes)}};
+  const std::vector<uint8_t> bytes = json::to_msgpack(out);
+  return {bytes.begin(), bytes.end()};
+}
+
+FeedReply DecodeFeedReply(std::string_view body) {
+  const json in = json::from_msgpack(body);
+  FeedReply out;
+  out.in_contact = in.at("in_contact").get<bool>();
+  out.revision = Revision(in.at("revision").get<uint64_t>());
+  for (const json& change : in.at("changes")) {
+    StoreItem item;
+    item.key = change.at("key").get<std::string>();
+    const auto& value = change.at("value").get_binary();
+    item.value.assign(value.begin(), value.end());
+    item.revision = Revision(change.at("revision").get<uint64_t>());
+    item.removed = change.at("removed").get<bool>();
+    out.changes.push_back(std::move(item));
+  }
+  return out;
+}
+
+StoreCall FeedCall(Revision revision) {
+  return {.method = "GET",
+          .target = std::string(kTarget) + std::to_string(revision.value()),
+          .body = ""};
+}
+
+ChangeFeed::ChangeFeed(EventLoop* loop, const std::string& address)
+    : m_loop(loop),
+      m_listener(loop,
+                 address,
+                 [this](const InboundRequest& request, ResponsePort& port) {
+                   OnRequest(request, port);
+                 }),
+      m_timer(loop->SubscribeEvery(kWaiterPeriod, [this] { AnswerOld(); })) {}
+
+ChangeFeed::~ChangeFeed() {
+  m_loop->Unsubscribe(m_timer);
+}
+
+void ChangeFeed::Restart(Revision revision) {
+  m_history.clear();
+  m_cached_after.reset();
+  m_start = revision;
+  m_revision = revision;
+  AnswerAll();
+}
+
+void ChangeFeed::Add(const StoreItem& item) {
+  m_history.push_back(item);
+  if (m_history.size() > kFeedHistory) {
+    m_start = m_history.front().revision;
+    m_history.pop_front();
+  }
+}
+
+void ChangeFeed::Publish(Revision revision) {
+  if (revision <= m_revision)
+    return;
+  m_revision = revision;
+  m_cached_after.reset();
+  AnswerAll();
+}
+
+void ChangeFeed::SetInContact(bool in_contact) {
+  if (in_contact == m_in_contact)
+    return;
+  m_in_contact = in_contact;
+  m_cached_after.reset();
+  AnswerAll();
+}
+
+void ChangeFeed::OnRequest(const InboundRequest& request, ResponsePort& port) {
+  uint64_t after = 0;
+  const std::string& target = request.target;
+  const bool known = target.starts_with(kTarget);
+  if (!known ||
+      std::from_chars(target.data() + kTarget.size(),
+                      target.data() + target.size(), after)
+              .ec != std::errc()) {
+    port.Respond({.status = kBadRequest});
+    return;
+  }
+  if (!m_in_contact || Revision(after) < m_revision) {
+    Answer(port, Revision(after));
+    return;
+  }
+  m_waiters[&port] = {.after = Revision(after), .since = m_loop->Now()};
+  port.SetGoneHook([this, &port] { m_waiters.erase(&port); });
+}
+
+void ChangeFeed::Answer(ResponsePort& port, Revision after) {
+  if (after < m_start) {
+    port.Respond({.status = kGone});
+    return;
+  }
+  if (m_cached_after != after) {
+    FeedReply reply;
+    reply.in_contact = m_in_contact;
+    reply.revision = std::max(m_revision, after);
+    for (const StoreItem& item : m_history) {
+      if (item.revision > after)
+        reply.changes.push_back(item);
+    }
+    m_cached = EncodeFeedReply(reply);
+    m_cached_after = after;
+  }
+  port.Respond({.status = kOk, .body = m_cached});
+}
+
+void ChangeFeed::AnswerAll() {
+  const auto waiters = std::exchange(m_waiters, {});
+  for (const auto& [port, waiter] : waiters)
+    Answer(*port, waiter.after);
+}
+
+void ChangeFeed::AnswerOld() {
+  const TimePoint now = m_loop->Now();
+  std::vector<std::pair<ResponsePort*, Revision>> due;
+  for (const auto& [port, waiter] : m_waiters) {
+    if (now - waiter.since >= kFeedWait)
+      due.emplace_back(port, waiter.after);
+  }
+  for (const auto& [port, after] : due) {
+    m_waiters.erase(port);
+    Answer(*port, after);
+  }
+}
+
+}  // namespace wasabihook::gateway
--- /dev/null
+++ b/src/gateway/change_feed.h
@@ -0,0 +1,79 @@
+#ifndef SRC_GATEWAY_CHANGE_FEED_H_
+#define SRC_GATEWAY_CHANGE_FEED_H_
+
+// PRIVATE HEADER. Passes changes of the store on between the instances of one
+// data centre, so that few of them have to watch it.
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "gateway/caller_listener.h"
+#include "gateway/dialect.h"
+#include "gateway/event_loop.h"
+
+namespace wasabihook::gateway {
+
+// What one instance tells another of the store.
+struct FeedReply {
+  // False if the sender itself has lost the store.
+  bool in_contact = false;
+  Revision revision;
+  std::vector<StoreItem> changes;
+};
+
+// Encoding of the feed: MessagePack. Decode throws std::runtime_error.
+std::string EncodeFeedReply(const FeedReply& reply);
+FeedReply DecodeFeedReply(std::string_view body);
+// Call that waits at an instance for changes after `revision`.
+StoreCall FeedCall(Revision revision);
+
+// Serves the changes that this instance has seen. A request waits until there
+// is a newer change, the contact with the store changes, or a time has passed.
+class ChangeFeed {
+ public:
+  ChangeFeed(EventLoop* loop, const std::string& address);
+  ~ChangeFeed();
+  ChangeFeed(const ChangeFeed&) = delete;
+  ChangeFeed& operator=(const ChangeFeed&) = delete;
+
+  // The history starts anew at `revision`.
+  void Restart(Revision revision);
+  // Adds a change; Publish() sends it.
+  void Add(const StoreItem& item);
+  // All changes up to `revision` are known.
+  void Publish(Revision revision);
+  void SetInContact(bool in_contact);
+
+ private:
+  struct Waiter {
+    Revision after;
+    TimePoint since;
+  };
+
+  void OnRequest(const InboundRequest& request, ResponsePort& port);
+  void Answer(ResponsePort& port, Revision after);
+  void AnswerAll();
+  void AnswerOld();
+
+  EventLoop* const m_loop;
+  bool m_in_contact = false;
+  Revision m_start;
+  Revision m_revision;
+  std::deque<StoreItem> m_history;
+  std::map<ResponsePort*, Waiter> m_waiters;
+  // Encoded reply of the revision that was asked for last: mostly all waiters
+  // stand at the same one.
+  std::optional<Revision> m_cached_after;
+  std::string m_cached;
+  CallerListener m_listener;
+  TimerHandle m_timer;
+};
+
+}  // namespace wasabihook::gateway
+
+#endif  // SRC_GATEWAY_CHANGE_FEED_H_
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,8 +15,6 @@
 // Share of the shorter of the bounds for drains and configurations after which
 // a watch is armed again; leaves room for a slow store.
 constexpr double kRearmShare = 0.15;
-// Time over which instances that start together register.
-constexpr Duration kRegistrationSpread = std::chrono::seconds(2);
 // Share of the grace time in which idle connections of callers stay open after
 // SIGTERM: callers move on with their next request.
 constexpr double kDrainIdleShare = 0.5;
@@ -64,6 +62,7 @@
                 .random = std::move(random)},
       m_directory(&m_context),
       m_builder(&m_directory),
+      m_feed_choice(m_settings.instance, m_settings.data_centre),
       m_callers(loop,
                 m_settings.caller_address,
                 [this](InboundRequest request, ResponsePort& port) {
@@ -76,13 +75,25 @@
                   }),
       m_follower(&m_context,
                  m_codec.get(),
+                 &m_feed_choice,
                  RearmDelay(m_settings.bounds),
                  {.on_listing =
                       [this](const std::vector<StoreItem>& items,
                              Revision revision) { OnListing(items, revision); },
                   .on_change = [this](const StoreItem& item) { OnChange(item); },
-                  .on_lost = [] {},
-                  .on_regained = [this] { m_directory.OnStoreRegained(); }}),
+                  .on_caught_up =
+                      [this](Revision revision) { OnCaughtUp(revision); },
+                  .on_lost =
+                      [this] {
+                        if (m_feed != nullptr)
+                          m_feed->SetInContact(false);
+                      },
+                  .on_regained =
+                      [this] {
+                        m_directory.OnStoreRegained();
+                        if (m_feed != nullptr)
+                          m_feed->SetInContact(true);
+                      }}),
       m_registration(&m_context, m_codec.get()) {
   if (!m_settings.metrics_address.empty()) {
     m_metrics_listener = std::make_unique<CallerListener>(
@@ -91,12 +102,13 @@
           OnMetrics(request, port);
         });
   }
+  if (!m_settings.feed_address.empty())
+    m_feed = std::make_unique<ChangeFeed>(loop, m_settings.feed_address);
   m_log.Info("started", {{"instance", m_settings.instance.value()},
                          {"data_centre", m_settings.data_centre.value()},
                          {"caller_address", m_settings.caller_address},
                          {"store_address", m_settings.store_address}});
   m_follower.Start();
-  m_registration.Start(kRegistrationSpread);
   m_loop->SubscribeEvery(kSettingsCheckPeriod, [this] { CheckSettingsFile(); });
   m_loop->SubscribeEvery(kGaugePeriod, [this] { UpdateGauges(); });
 }
@@ -167,7 +179,7 @@
 void Gateway::OnListing(const std::vector<StoreItem>& items,
                         Revision revision) {
   std::vector<ServerId> servers;
-  m_instances.clear();
+  m_feed_choice.Clear();
   for (const StoreItem& item : items) {
     if (m_dialect.kind_of(item.key) == KeyKind::kServer)
       servers.push_back(m_dialect.server_of(item.key));
@@ -175,17 +187,30 @@
   }
   m_directory.Reconcile(servers, revision);
   CountInstances();
-  if (!m_listed)
-    m_log.Info("store_listed", {{"keys", items.size()},
-                                {"servers", servers.size()},
-                                {"revision", revision.value()}});
-  m_listed = true;
+  if (m_feed != nullptr) {
+    m_feed->Restart(revision);
+    m_feed->SetInContact(true);
+  }
+  m_log.Info("store_listed", {{"keys", items.size()},
+                              {"servers", servers.size()},
+                              {"revision", revision.value()}});
+  if (!std::exchange(m_listed, true))
+    m_registration.Start(
+        EncodeInstance({.data_centre = m_settings.data_centre,
+                        .feed_address = m_settings.feed_address}),
+        m_feed_choice.Has(m_settings.instance));
+}
+
+void Gateway::OnCaughtUp(Revision revision) {
+  CountInstances();
+  if (m_feed != nullptr)
+    m_feed->Publish(revision);
 }
 
 void Gateway::OnChange(const StoreItem& item) {
+  if (m_feed != nullptr)
+    m_feed->Add(item);
   ApplyItem(item);
-  if (m_dialect.kind_of(item.key) == KeyKind::kInstance)
-    CountInstances();
 }
 
 void Gateway::ApplyItem(const StoreItem& item) {
@@ -245,17 +270,21 @@
 }
 
 void Gateway::ApplyInstance(const StoreItem& item) {
-  if (item.removed)
-    m_instances.erase(item.key);
-  else
-    m_instances.insert(item.key);
+  const InstanceId id(item.key.substr(m_dialect.instance_prefix.size()));
+  if (item.removed) {
+    m_feed_choice.Remove(id);
+    return;
+  }
+  try {
+    m_feed_choice.Set(id, DecodeInstance(item.value));
+  } catch (const std::exception& error) {
+    m_log.Warning("instance_entry_invalid", {{"instance", id.value()},
+                                             {"reason", error.what()}});
+  }
 }
 
 void Gateway::CountInstances() {
-  const std::string self =
-      m_dialect.instance_prefix + m_settings.instance.value();
-  const size_t others = m_instances.size() - m_instances.count(self);
-  m_directory.SetInstances(static_cast<uint32_t>(others + 1));
+  m_directory.SetInstances(static_cast<uint32_t>(m_feed_choice.others() + 1));
 }
 
 void Gateway::UpdateGauges() {
@@ -270,7 +299,6 @@
     return;
   m_drain_started = m_loop->Now();
   m_callers.BeginDrain();
-  m_registration.Withdraw();
   m_log.Info("drain_started", {{"in_flight", m_callers.in_flight()},
                                {"connections", m_callers.connections()}});
   m_loop->SubscribeEvery(kDrainCheckPeriod, [this] { CheckDrained(); });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,10 +6,11 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "gateway/caller_listener.h"
+#include "gateway/change_feed.h"
 #include "gateway/exchange.h"
+#include "gateway/feed_choice.h"
 #include "gateway/gateway_context.h"
 #include "gateway/instance_registration.h"
 #include "gateway/route_table.h"
@@ -55,6 +56,7 @@
   void ApplyServer(const StoreItem& item);
   void ApplyInstance(const StoreItem& item);
   void CountInstances();
+  void OnCaughtUp(Revision revision);
   void UpdateGauges();
 
   void CheckDrained();
@@ -72,7 +74,8 @@
   ServerDirectory m_directory;
   RouteTableBuilder m_builder;
   RouteTablePtr m_routes;
-  std::unordered_set<std::string> m_instances;
+  FeedChoice m_feed_choice;
+  std::unique_ptr<ChangeFeed> m_feed;
   std::unordered_map<Exchange*, std::unique_ptr<Exchange>> m_exchanges;
   std::vector<std::unique_ptr<Exchange>> m_finished;
   bool m_listed = false;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -85,6 +85,7 @@
   out.caller_address = listen.Text("caller", true);
   out.readiness_address = listen.Text("readiness", true);
   out.metrics_address = listen.Text("metrics", false);
+  out.feed_address = listen.Text("feed", false);
   TableReader store(root, "store", problems);
   out.store_address = store.Text("address", true);
   TableReader bounds(root, "bounds", problems);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -120,14 +120,37 @@
 // --- Store ---
 inline constexpr Duration kStoreCallTimeout = milliseconds(1500);
 inline constexpr Duration kStoreWatchWait = seconds(25);
+// A watch that is opened while the store drops its history may hear nothing;
+// the first ones after a loss are short, so that this shows within the bound of
+// configurations (3 s).
+inline constexpr Duration kStoreShortWait = milliseconds(800);
+inline constexpr uint32_t kStoreShortWatches = 3;
 inline constexpr Duration kStoreKeepalive = seconds(1);
 inline constexpr Duration kStoreUserTimeout = seconds(2);
 inline constexpr Duration kStoreBackoff = milliseconds(200);
 inline constexpr Duration kStoreMaxBackoff = milliseconds(1000);
 // Added to the wait of a watch before it counts as lost.
 inline constexpr Duration kStoreWatchGrace = milliseconds(1500);
-// Lifetime of the entry that an instance registers.
-inline constexpr Duration kInstanceLease = seconds(300);
+// Lifetime of the entry that an instance registers, the longest that the store
+// grants, and the time after which it is renewed.
+inline constexpr Duration kInstanceLease = seconds(600);
+inline constexpr Duration kInstanceRenewal = seconds(200);
+// A restarted instance whose entry still stands renews it after this time.
+inline constexpr Duration kInstanceTakeOver = seconds(60);
+
+// --- Changes passed on between instances ---
+// An instance without news answers after this time, so that the other end
+// knows it is alive.
+inline constexpr Duration kFeedWait = milliseconds(1000);
+inline constexpr Duration kFeedTimeout = milliseconds(1600);
+// Time for which an instance that failed is not followed; doubles up to the
+// second value while it goes on failing.
+inline constexpr Duration kFeedRetryDelay = seconds(3);
+inline constexpr Duration kFeedMaxRetryDelay = seconds(60);
+// Instances that are tried before the store is watched directly.
+inline constexpr uint32_t kFeedCandidates = 2;
+// Changes kept for instances that are behind.
+inline constexpr size_t kFeedHistory = 2000;
 
 // --- Logs ---
 // Lines per second and burst of one event; more are counted and dropped.
@@ -156,6 +179,8 @@
   std::string readiness_address;
   // Empty: metrics are not served.
   std::string metrics_address;
+  // For other instances; empty: no changes are passed on.
+  std::string feed_address;
   std::string store_address;
   ServiceBounds bounds;
 };
--- a/src/gateway/instance_registration.cc
+++ b/src/gateway/instance_registration.cc
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr int kOk = 200;
-// A lease is renewed after this part of its lifetime.
-constexpr int kRenewalsPerLease = 3;
 // Registration matters little while the store is away, so it retries rarely.
 constexpr Duration kMinBackoff = std::chrono::seconds(1);
 constexpr Duration kMaxBackoff = std::chrono::seconds(8);
@@ -26,10 +24,12 @@
     m_context->loop->Unsubscribe(*m_timer);
 }
 
-void InstanceRegistration::Start(Duration spread) {
-  Later(Duration(static_cast<int64_t>(static_cast<double>(spread.count()) *
-                                      m_context->Uniform())),
-        &InstanceRegistration::Grant);
+void InstanceRegistration::Start(std::string value, bool stands) {
+  m_value = std::move(value);
+  if (stands)
+    Later(kInstanceTakeOver, &InstanceRegistration::Grant);
+  else
+    Grant();
 }
 
 void InstanceRegistration::Later(Duration delay,
@@ -51,7 +51,7 @@
 }
 
 void InstanceRegistration::Grant() {
-  if (m_withdrawn || m_client.busy())
+  if (m_client.busy())
     return;
   m_client.Call(m_codec->GrantLease(kInstanceLease), kStoreCallTimeout,
                 [this](std::optional<StoreReply> reply) {
@@ -78,7 +78,7 @@
   const std::string key =
       m_context->dialect->instance_prefix + settings.instance.value();
   m_client.Call(
-      m_codec->Put(key, settings.data_centre.value(), m_lease),
+      m_codec->Put(key, m_value, m_lease),
       kStoreCallTimeout, [this](std::optional<StoreReply> reply) {
         if (!reply || reply->status != kOk) {
           RetryFrom("put", reply ? reply->status : 0);
@@ -86,12 +86,12 @@
         }
         m_context->metrics->CountStoreCall("put", "ok");
         m_backoff = Duration(0);
-        Later(kInstanceLease / kRenewalsPerLease, &InstanceRegistration::Renew);
+        Later(kInstanceRenewal, &InstanceRegistration::Renew);
       });
 }
 
 void InstanceRegistration::Renew() {
-  if (m_withdrawn || m_client.busy())
+  if (m_client.busy())
     return;
   m_client.Call(m_codec->RenewLease(m_lease), kStoreCallTimeout,
                 [this](std::optional<StoreReply> reply) {
@@ -100,20 +100,9 @@
                     return;
                   }
                   m_context->metrics->CountStoreCall("renew", "ok");
-                  Later(kInstanceLease / kRenewalsPerLease,
+                  Later(kInstanceRenewal,
                         &InstanceRegistration::Renew);
                 });
 }
 
-void InstanceRegistration::Withdraw() {
-  m_withdrawn = true;
-  if (m_lease == 0 || m_client.busy())
-    return;
-  m_client.Call(m_codec->EndLease(m_lease), kStoreCallTimeout,
-                [this](std::optional<StoreReply> reply) {
-                  m_context->metrics->CountStoreCall(
-                      "end", reply && reply->status == kOk ? "ok" : "lost");
-                });
-}
-
 }  // namespace wasabihook::gateway
--- a/src/gateway/instance_registration.h
+++ b/src/gateway/instance_registration.h
@@ -14,7 +14,8 @@
 namespace wasabihook::gateway {
 
 // Keeps one key with a lease in the store that tells the other instances that
-// this one shares the servers with them.
+// this one shares the servers with them. The key outlives a restart; that of an
+// instance that is gone for good ends with its lease.
 class InstanceRegistration {
  public:
   InstanceRegistration(GatewayContext* context, const StoreCodec* codec);
@@ -22,10 +23,9 @@
   InstanceRegistration(const InstanceRegistration&) = delete;
   InstanceRegistration& operator=(const InstanceRegistration&) = delete;
 
-  // Registers after a random part of `spread`.
-  void Start(Duration spread);
-  // Removes the key.
-  void Withdraw();
+  // Registers `value`. `stands`: an earlier process of this instance has
+  // registered the same, and its lease still runs for a while.
+  void Start(std::string value, bool stands);
 
  private:
   void Grant();
@@ -37,8 +37,8 @@
   GatewayContext* const m_context;
   const StoreCodec* const m_codec;
   StoreClient m_client;
+  std::string m_value;
   uint64_t m_lease = 0;
-  bool m_withdrawn = false;
   Duration m_backoff{0};
   std::optional<TimerHandle> m_timer;
 };
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/change_feed.h"
+
 namespace wasabihook::gateway {
 namespace {
 
@@ -15,10 +17,12 @@
 
 StoreFollower::StoreFollower(GatewayContext* context,
                              const StoreCodec* codec,
+                             FeedChoice* choice,
                              Duration rearm_delay,
                              StoreEvents events)
     : m_context(context),
       m_codec(codec),
+      m_choice(choice),
       m_rearm_delay(rearm_delay),
       m_events(std::move(events)),
       m_client(context->loop, context->settings->store_address) {}
@@ -56,10 +60,14 @@
     m_events.on_lost();
   }
   m_backoff = std::clamp(m_backoff * 2, kStoreBackoff, kStoreMaxBackoff);
-  // Half of the delay is random, so that instances do not return together.
-  const auto delay = Duration(static_cast<int64_t>(
-      static_cast<double>(m_backoff.count()) * (0.5 + m_context->Uniform())));
-  Later(delay, step);
+  m_short_watches = kStoreShortWatches;
+  Later(Jittered(m_backoff), step);
+}
+
+// Half of the delay is random, so that instances do not return together.
+Duration StoreFollower::Jittered(Duration delay) const {
+  return Duration(static_cast<int64_t>(static_cast<double>(delay.count()) *
+                                       (0.5 + m_context->Uniform())));
 }
 
 void StoreFollower::List() {
@@ -96,13 +104,91 @@
   m_events.on_listing(m_items, m_revision);
   m_items.clear();
   m_items.shrink_to_fit();
+  // Instances that start together register first and then find each other, so
+  // that most of them never have to watch the store.
+  const bool first = !m_listed_once;
   m_listed_once = true;
-  Watch();
+  if (first && m_choice->others() == 0)
+    Later(m_rearm_delay, &StoreFollower::Follow);
+  else
+    Follow();
+}
+
+void StoreFollower::Follow() {
+  const auto peer = m_choice->Choose(m_context->loop->Now());
+  if (peer)
+    AskPeer(*peer);
+  else
+    Watch();
+}
+
+void StoreFollower::AskPeer(const std::string& address) {
+  if (m_peer_client == nullptr || m_peer != address) {
+    m_context->log->Info("feed_followed",
+                         {{"address", address},
+                          {"revision", m_revision.value()}});
+    m_peer = address;
+    // The old client may be on the stack, in the callback that led here.
+    m_last_peer_client = std::move(m_peer_client);
+    m_peer_client = std::make_unique<StoreClient>(m_context->loop, address);
+  }
+  m_peer_client->Call(
+      FeedCall(m_revision), kFeedTimeout,
+      [this](std::optional<StoreReply> reply) { OnPeerReply(reply); });
+}
+
+void StoreFollower::OnPeerFailure(const char* reason) {
+  m_context->log->Warning("feed_failed", {{"address", m_peer},
+                                          {"reason", reason},
+                                          {"revision", m_revision.value()}});
+  m_choice->OnFailure(m_peer, m_context->loop->Now());
+  m_short_watches = kStoreShortWatches;
+  // What the other instance lost may come back the next moment; if all came at
+  // once, the store would see a burst.
+  Later(Jittered(kStoreBackoff), &StoreFollower::Follow);
+}
+
+void StoreFollower::OnPeerReply(const std::optional<StoreReply>& reply) {
+  if (!reply) {
+    OnPeerFailure("no reply");
+    return;
+  }
+  if (reply->status != kOk) {
+    OnPeerFailure("behind its history");
+    return;
+  }
+  FeedReply feed;
+  try {
+    feed = DecodeFeedReply(reply->body);
+  } catch (const std::exception& error) {
+    OnPeerFailure(error.what());
+    return;
+  }
+  Report(feed.changes, feed.revision);
+  if (!feed.in_contact) {
+    OnPeerFailure("it lost the store");
+    return;
+  }
+  m_choice->OnSuccess(m_peer);
+  OnAnswered();
+  Follow();
+}
+
+void StoreFollower::Report(const std::vector<StoreItem>& changes,
+                           Revision revision) {
+  for (const StoreItem& item : changes)
+    m_events.on_change(item);
+  m_revision = std::max(m_revision, revision);
+  m_events.on_caught_up(m_revision);
 }
 
 void StoreFollower::Watch() {
-  m_client.Call(m_codec->Watch("", m_revision, kStoreWatchWait),
-                kStoreWatchWait + kStoreWatchGrace,
+  Duration wait = kStoreWatchWait;
+  if (m_short_watches > 0) {
+    --m_short_watches;
+    wait = kStoreShortWait;
+  }
+  m_client.Call(m_codec->Watch("", m_revision, wait), wait + kStoreWatchGrace,
                 [this](std::optional<StoreReply> reply) { OnEvents(reply); });
 }
 
@@ -115,7 +201,7 @@
     return;
   }
   if (!reply || reply->status != kOk) {
-    Retry("watch", reply ? reply->status : 0, &StoreFollower::Watch);
+    Retry("watch", reply ? reply->status : 0, &StoreFollower::Follow);
     return;
   }
   StoreListing events;
@@ -129,10 +215,17 @@
   }
   OnAnswered();
   m_context->metrics->CountStoreCall("watch", "ok");
-  for (const StoreItem& item : events.items)
-    m_events.on_change(item);
-  m_revision = std::max(m_revision, events.revision);
-  Later(m_rearm_delay, &StoreFollower::Watch);
+  if (events.items.empty() && events.revision > m_revision) {
+    // All keys are watched, so every new revision has its event: this watch
+    // was opened in a gap of the history and heard nothing.
+    m_context->log->Warning("store_events_missed",
+                            {{"after", m_revision.value()},
+                             {"revision", events.revision.value()}});
+    List();
+    return;
+  }
+  Report(events.items, events.revision);
+  Later(m_rearm_delay, &StoreFollower::Follow);
 }
 
 }  // namespace wasabihook::gateway
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gateway/dialect.h"
+#include "gateway/feed_choice.h"
 #include "gateway/gateway_context.h"
 #include "gateway/store_client.h"
 
@@ -18,18 +19,22 @@
   // All keys at the start and after a gap in the history.
   std::function<void(const std::vector<StoreItem>&, Revision)> on_listing;
   std::function<void(const StoreItem&)> on_change;
+  // All changes up to the revision were reported.
+  std::function<void(Revision)> on_caught_up;
   // The store stopped answering this instance, or answers again.
   std::function<void()> on_lost;
   std::function<void()> on_regained;
 };
 
-// Reads all keys of the store once and follows their changes with a watch.
-// Changes that come close together are fetched with one call: after each
-// return the watch is armed again only after `rearm_delay`.
+// Reads all keys of the store once and follows their changes, through another
+// instance where `choice` names one, else with a watch of its own. Changes that
+// come close together are fetched with one call: after each return the watch is
+// armed again only after `rearm_delay`.
 class StoreFollower {
  public:
   StoreFollower(GatewayContext* context,
                 const StoreCodec* codec,
+                FeedChoice* choice,
                 Duration rearm_delay,
                 StoreEvents events);
   ~StoreFollower();
@@ -42,18 +47,30 @@
  private:
   void List();
   void OnPage(const std::optional<StoreReply>& reply);
+  // Waits for changes, at another instance or at the store.
+  void Follow();
   void Watch();
   void OnEvents(const std::optional<StoreReply>& reply);
+  void AskPeer(const std::string& address);
+  void OnPeerReply(const std::optional<StoreReply>& reply);
+  void OnPeerFailure(const char* reason);
+  void Report(const std::vector<StoreItem>& changes, Revision revision);
   void Later(Duration delay, void (StoreFollower::*step)());
   // Repeats `step` after a growing delay.
   void Retry(const char* call, int status, void (StoreFollower::*step)());
   void OnAnswered();
+  Duration Jittered(Duration delay) const;
 
   GatewayContext* const m_context;
   const StoreCodec* const m_codec;
+  FeedChoice* const m_choice;
   const Duration m_rearm_delay;
   const StoreEvents m_events;
   StoreClient m_client;
+  // Connection to the instance that is followed.
+  std::string m_peer;
+  std::unique_ptr<StoreClient> m_peer_client;
+  std::unique_ptr<StoreClient> m_last_peer_client;
   std::vector<StoreItem> m_items;
   // Where the watch goes on: the revision of the first page, since later pages
   // may show newer changes that the watch then repeats.
@@ -63,6 +80,8 @@
   bool m_listed_once = false;
   bool m_in_contact = true;
   Duration m_backoff{0};
+  // Watches that are kept short, since the store was lost a moment ago.
+  uint32_t m_short_watches = 0;
   std::optional<TimerHandle> m_timer;
 };
 
