Notice a watch that hears nothing, and count free repeats

Instances that watch the store now compare revisions with the other data centres four times a second and take the changes from there when their own watch is deaf or refused.

--- a/src/gateway/change_feed.cc
+++ b/src/gateway/change_feed.cc
@@ -14,6 +14,7 @@
 using nlohmann::json;
 
 constexpr std::string_view kTarget = "/changes?after=";
+constexpr std::string_view kRevisionTarget = "/revision";
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kGone = 410;
@@ -34,6 +35,7 @@
                        {"revision", item.revision.value()},
                        {"removed", item.removed}});
   const json out = {{"in_contact", reply.in_contact},
+                    {"direct", reply.direct},
                     {"revision", reply.revision.value()},
                     {"changes", std::move(changes)}};
   const std::vector<uint8_t> bytes = json::to_msgpack(out);
@@ -44,6 +46,7 @@
   const json in = json::from_msgpack(body);
   FeedReply out;
   out.in_contact = in.at("in_contact").get<bool>();
+  out.direct = in.at("direct").get<bool>();
   out.revision = Revision(in.at("revision").get<uint64_t>());
   for (const json& change : in.at("changes")) {
     StoreItem item;
@@ -63,6 +66,10 @@
           .body = ""};
 }
 
+StoreCall RevisionCall() {
+  return {.method = "GET", .target = std::string(kRevisionTarget), .body = ""};
+}
+
 ChangeFeed::ChangeFeed(EventLoop* loop, const std::string& address)
     : m_loop(loop),
       m_listener(loop,
@@ -108,9 +115,18 @@
   AnswerAll();
 }
 
+void ChangeFeed::SetDirect(bool direct) {
+  m_cached_after.reset();
+  m_direct = direct;
+}
+
 void ChangeFeed::OnRequest(const InboundRequest& request, ResponsePort& port) {
   uint64_t after = 0;
   const std::string& target = request.target;
+  if (target == kRevisionTarget) {
+    port.Respond({.status = kOk, .body = EncodeFeedReply(State())});
+    return;
+  }
   const bool known = target.starts_with(kTarget);
   if (!known ||
       std::from_chars(target.data() + kTarget.size(),
@@ -133,8 +149,7 @@
     return;
   }
   if (m_cached_after != after) {
-    FeedReply reply;
-    reply.in_contact = m_in_contact;
+    FeedReply reply = State();
     reply.revision = std::max(m_revision, after);
     for (const StoreItem& item : m_history) {
       if (item.revision > after)
--- a/src/gateway/change_feed.h
+++ b/src/gateway/change_feed.h
@@ -22,6 +22,8 @@
 struct FeedReply {
   // False if the sender itself has lost the store.
   bool in_contact = false;
+  // The sender watches the store itself.
+  bool direct = false;
   Revision revision;
   std::vector<StoreItem> changes;
 };
@@ -31,6 +33,8 @@
 FeedReply DecodeFeedReply(std::string_view body);
 // Call that waits at an instance for changes after `revision`.
 StoreCall FeedCall(Revision revision);
+// Call that is answered at once, without changes.
+StoreCall RevisionCall();
 
 // Serves the changes that this instance has seen. A request waits until there
 // is a newer change, the contact with the store changes, or a time has passed.
@@ -48,6 +52,7 @@
   // All changes up to `revision` are known.
   void Publish(Revision revision);
   void SetInContact(bool in_contact);
+  void SetDirect(bool direct);
 
  private:
   struct Waiter {
@@ -57,11 +62,18 @@
 
   void OnRequest(const InboundRequest& request, ResponsePort& port);
   void Answer(ResponsePort& port, Revision after);
+  FeedReply State() const {
+    return {.in_contact = m_in_contact,
+            .direct = m_direct,
+            .revision = m_revision,
+            .changes = {}};
+  }
   void AnswerAll();
   void AnswerOld();
 
   EventLoop* const m_loop;
   bool m_in_contact = false;
+  bool m_direct = false;
   Revision m_start;
   Revision m_revision;
   std::deque<StoreItem> m_history;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -250,13 +250,15 @@
 }
 
 void Exchange::RetryPart(Part& part, AttemptOutcome outcome) {
-  const bool free = outcome == AttemptOutcome::kNotSent;
+  // Only the first arrival at a service is no repeat: an attempt that reached
+  // no server is replaced for free unless another one did before.
+  const bool free =
+      outcome == AttemptOutcome::kNotSent && part.arrivals == 0;
   if (!MayRepeat(part, outcome) ||
       (!free && !part.service->budget().TrySpend(m_context->loop->Now()))) {
     SettlePart(part, PartState::kFailed);
     return;
   }
-  part.is_repeat = !free;
   if (SendPart(part, !free)) {
     ++m_retries;
     m_context->metrics->CountRepeat(ToString(outcome));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -54,8 +54,6 @@
     std::vector<BackendServer*> tried;
     // Sends that may have reached a server.
     uint32_t arrivals = 0;
-    // The next send repeats work that may have been done.
-    bool is_repeat = false;
     bool hedge_done = false;
     TimePoint sent_at;
     std::string proof;
--- a/src/gateway/feed_choice.cc
+++ b/src/gateway/feed_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 namespace wasabihook::gateway {
@@ -22,19 +23,46 @@
   m_instances[id] = std::move(record);
 }
 
-std::optional<std::string> FeedChoice::Choose(TimePoint now) const {
+bool FeedChoice::IsAvoided(const std::string& address, TimePoint now) const {
+  const auto found = m_avoided.find(address);
+  return found != m_avoided.end() && now < found->second.until;
+}
+
+FeedSource FeedChoice::Choose(TimePoint now) const {
   uint32_t asked = 0;
   for (const auto& [id, record] : m_instances) {
     if (id >= m_self || asked >= kFeedCandidates)
-      return std::nullopt;
+      break;
     if (record.data_centre != m_data_centre || record.feed_address.empty())
       continue;
     ++asked;
-    const auto avoided = m_avoided.find(record.feed_address);
-    if (avoided == m_avoided.end() || now >= avoided->second.until)
-      return record.feed_address;
+    if (!IsAvoided(record.feed_address, now))
+      return {.address = record.feed_address, .direct_only = false};
+  }
+  if (now < m_store_avoided) {
+    const std::vector<std::string> witnesses = Witnesses(now);
+    const auto informed =
+        std::find(witnesses.begin(), witnesses.end(), m_informed);
+    if (informed != witnesses.end())
+      return {.address = *informed, .direct_only = true};
+    if (!witnesses.empty())
+      return {.address = witnesses.front(), .direct_only = true};
+  }
+  return {};
+}
+
+std::vector<std::string> FeedChoice::Witnesses(TimePoint now) const {
+  // The first instance of each data centre most likely watches the store.
+  std::vector<std::string> out;
+  std::set<DataCentreId> seen = {m_data_centre};
+  for (const auto& [id, record] : m_instances) {
+    if (record.feed_address.empty() || seen.contains(record.data_centre) ||
+        IsAvoided(record.feed_address, now))
+      continue;
+    seen.insert(record.data_centre);
+    out.push_back(record.feed_address);
   }
-  return std::nullopt;
+  return out;
 }
 
 void FeedChoice::OnFailure(const std::string& address, TimePoint now) {
@@ -44,4 +72,8 @@
   avoided.until = now + avoided.delay;
 }
 
+void FeedChoice::OnUninformed(const std::string& address, TimePoint now) {
+  m_avoided[address] = {.until = now + kFeedRetryDelay, .delay = Duration(0)};
+}
+
 }  // namespace wasabihook::gateway
--- a/src/gateway/feed_choice.h
+++ b/src/gateway/feed_choice.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gateway/gateway_settings.h"
 
@@ -23,10 +24,21 @@
 std::string EncodeInstance(const InstanceRecord& record);
 InstanceRecord DecodeInstance(std::string_view value);
 
-// Decides from which instance this one takes the changes of the store. The
-// instances of a data centre stand in the order of their ids; each follows the
-// first one before it that works, and the first one watches the store itself.
-// Nobody follows an instance behind it, so that there are no cycles.
+// Where an instance takes the changes of the store from.
+struct FeedSource {
+  // "ip:port" of another instance; empty for the store itself.
+  std::string address;
+  // The other instance must watch the store itself. Keeps two instances that
+  // follow each other from passing for informed.
+  bool direct_only = false;
+
+  bool is_store() const { return address.empty(); }
+};
+
+// Decides from where this instance takes the changes. The instances of a data
+// centre stand in the order of their ids; each follows the first one before it
+// that works, and the first one watches the store. An instance whose own watch
+// fails takes the changes from an instance of another data centre meanwhile.
 class FeedChoice {
  public:
   FeedChoice(InstanceId self, DataCentreId data_centre)
@@ -35,16 +47,27 @@
   void Clear() { m_instances.clear(); }
   void Set(const InstanceId& id, InstanceRecord record);
   void Remove(const InstanceId& id) { m_instances.erase(id); }
-  size_t size() const { return m_instances.size(); }
   bool Has(const InstanceId& id) const { return m_instances.contains(id); }
   // Instances other than this one.
-  size_t others() const { return size() - (Has(m_self) ? 1 : 0); }
+  size_t others() const {
+    return m_instances.size() - (Has(m_self) ? 1 : 0);
+  }
 
-  // Address to follow; empty if this instance watches the store itself.
-  std::optional<std::string> Choose(TimePoint now) const;
-  // The instance did not answer, or has lost the store.
+  FeedSource Choose(TimePoint now) const;
+  // One instance that works of each other data centre, to compare revisions
+  // with.
+  std::vector<std::string> Witnesses(TimePoint now) const;
+
+  // The instance did not answer. It is avoided for a growing time.
   void OnFailure(const std::string& address, TimePoint now);
+  // The instance answers, but has lost the store.
+  void OnUninformed(const std::string& address, TimePoint now);
   void OnSuccess(const std::string& address) { m_avoided.erase(address); }
+  // The store does not answer this instance, or its watch hears nothing.
+  void OnStoreFailure(TimePoint now) { m_store_avoided = now + kStoreAvoidance; }
+  // `address` knew more than the own watch had brought.
+  void OnBetterInformed(const std::string& address) { m_informed = address; }
+  void OnStoreSuccess() { m_store_avoided = TimePoint(); }
 
  private:
   struct Avoided {
@@ -52,10 +75,14 @@
     Duration delay{0};
   };
 
+  bool IsAvoided(const std::string& address, TimePoint now) const;
+
   const InstanceId m_self;
   const DataCentreId m_data_centre;
   std::map<InstanceId, InstanceRecord> m_instances;
   std::map<std::string, Avoided> m_avoided;
+  TimePoint m_store_avoided;
+  std::string m_informed;
 };
 
 }  // namespace wasabihook::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -93,6 +93,11 @@
                         m_directory.OnStoreRegained();
                         if (m_feed != nullptr)
                           m_feed->SetInContact(true);
+                      },
+                  .on_direct =
+                      [this](bool direct) {
+                        if (m_feed != nullptr)
+                          m_feed->SetDirect(direct);
                       }}),
       m_registration(&m_context, m_codec.get()) {
   if (!m_settings.metrics_address.empty()) {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -147,6 +147,13 @@
 // second value while it goes on failing.
 inline constexpr Duration kFeedRetryDelay = seconds(3);
 inline constexpr Duration kFeedMaxRetryDelay = seconds(60);
+// Time for which an instance whose own watch fails follows another data centre
+// before it tries the store again.
+inline constexpr Duration kStoreAvoidance = seconds(2);
+// Period at which an instance with a watch of its own compares revisions with
+// another data centre, and the wait of its watch if there is none.
+inline constexpr Duration kRevisionCheckPeriod = milliseconds(250);
+inline constexpr Duration kLoneWatchWait = milliseconds(1500);
 // Instances that are tried before the store is watched directly.
 inline constexpr uint32_t kFeedCandidates = 2;
 // Changes kept for instances that are behind.
--- /dev/null
+++ b/src/gateway/revision_check.h
@@ -0,0 +1,75 @@
+#ifndef SRC_GATEWAY_REVISION_CHECK_H_
+#define SRC_GATEWAY_REVISION_CHECK_H_
+
+// PRIVATE HEADER.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gateway/feed_choice.h"
+#include "gateway/gateway_context.h"
+#include "gateway/store_client.h"
+
+namespace wasabihook::gateway {
+
+// Decides from revisions seen elsewhere whether the own watch has gone deaf: it
+// has if a revision that another instance knew `patience` ago is still unknown
+// here.
+class DeafWatch {
+ public:
+  explicit DeafWatch(Duration patience) : m_patience(patience) {}
+  // Returns true once the watch counts as deaf.
+  bool Observe(Revision elsewhere, Revision own, TimePoint now);
+  void Reset() { m_awaited.reset(); }
+
+ private:
+  struct Awaited {
+    Revision revision;
+    TimePoint since;
+  };
+  const Duration m_patience;
+  std::optional<Awaited> m_awaited;
+};
+
+// Asks an instance of another data centre for its revision from time to time
+// while this instance watches the store itself. A store that keeps the
+// connection but stays silent does not show in any other way.
+class RevisionCheck {
+ public:
+  // `on_deaf` runs when the watch must be given up.
+  RevisionCheck(GatewayContext* context,
+                FeedChoice* choice,
+                Duration patience,
+                std::function<void()> on_deaf);
+  ~RevisionCheck();
+  RevisionCheck(const RevisionCheck&) = delete;
+  RevisionCheck& operator=(const RevisionCheck&) = delete;
+
+  // Starts or ends the checks.
+  void SetActive(bool active);
+  void SetRevision(Revision revision) { m_revision = revision; }
+
+ private:
+  void Check();
+  void OnReply(const std::optional<StoreReply>& reply);
+
+  GatewayContext* const m_context;
+  FeedChoice* const m_choice;
+  const std::function<void()> m_on_deaf;
+  DeafWatch m_deaf;
+  Revision m_revision;
+  bool m_active = false;
+  size_t m_turn = 0;
+  // Instance asked last.
+  std::string m_address;
+  StoreClient* m_client = nullptr;
+  std::map<std::string, std::unique_ptr<StoreClient>> m_clients;
+  TimerHandle m_timer;
+};
+
+}  // namespace wasabihook::gateway
+
+#endif  // SRC_GATEWAY_REVISION_CHECK_H_
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -51,6 +51,15 @@
   m_connection->Send(std::move(bytes), "", false);
 }
 
+bool StoreClient::Cancel() {
+  if (!busy())
+    return false;
+  DropConnection();
+  m_done = nullptr;
+  End(std::nullopt);
+  return true;
+}
+
 void StoreClient::End(std::optional<StoreReply> reply) {
   if (m_timeout)
     m_loop->Unsubscribe(*m_timeout);
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -28,6 +28,8 @@
   // `done` is called once, never from within Call(). Only while !busy().
   void Call(const StoreCall& call, Duration timeout, StoreCallback done);
   bool busy() const { return m_done != nullptr; }
+  // Gives up the call in progress without a callback; false if there is none.
+  bool Cancel();
 
   void OnExchangeEnd(ServerConnection& connection,
                      WireOutcome outcome) override;
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -25,7 +25,9 @@
       m_choice(choice),
       m_rearm_delay(rearm_delay),
       m_events(std::move(events)),
-      m_client(context->loop, context->settings->store_address) {}
+      m_client(context->loop, context->settings->store_address),
+      m_check(context, choice, rearm_delay + kRevisionCheckPeriod,
+              [this] { OnDeafWatch(); }) {}
 
 StoreFollower::~StoreFollower() {
   if (m_timer)
@@ -101,6 +103,7 @@
   }
   m_after.clear();
   m_revision = m_list_revision;
+  m_check.SetRevision(m_revision);
   m_events.on_listing(m_items, m_revision);
   m_items.clear();
   m_items.shrink_to_fit();
@@ -114,34 +117,51 @@
     Follow();
 }
 
+void StoreFollower::SetDirect(bool direct) {
+  m_check.SetActive(direct);
+  if (direct != m_direct)
+    m_events.on_direct(direct);
+  m_direct = direct;
+}
+
 void StoreFollower::Follow() {
-  const auto peer = m_choice->Choose(m_context->loop->Now());
-  if (peer)
-    AskPeer(*peer);
-  else
+  const FeedSource source = m_choice->Choose(m_context->loop->Now());
+  SetDirect(source.is_store());
+  if (source.is_store())
     Watch();
+  else
+    AskPeer(source);
 }
 
-void StoreFollower::AskPeer(const std::string& address) {
-  if (m_peer_client == nullptr || m_peer != address) {
+void StoreFollower::AskPeer(const FeedSource& source) {
+  if (m_peer_client == nullptr || m_peer.address != source.address) {
     m_context->log->Info("feed_followed",
-                         {{"address", address},
+                         {{"address", source.address},
+                          {"direct_only", source.direct_only},
                           {"revision", m_revision.value()}});
-    m_peer = address;
     // The old client may be on the stack, in the callback that led here.
     m_last_peer_client = std::move(m_peer_client);
-    m_peer_client = std::make_unique<StoreClient>(m_context->loop, address);
+    m_peer_client =
+        std::make_unique<StoreClient>(m_context->loop, source.address);
   }
+  m_peer = source;
   m_peer_client->Call(
       FeedCall(m_revision), kFeedTimeout,
       [this](std::optional<StoreReply> reply) { OnPeerReply(reply); });
 }
 
+void StoreFollower::OnDeafWatch() {
+  if (!m_client.Cancel())
+    return;
+  m_choice->OnStoreFailure(m_context->loop->Now());
+  m_short_watches = kStoreShortWatches;
+  Later(Duration(0), &StoreFollower::Follow);
+}
+
 void StoreFollower::OnPeerFailure(const char* reason) {
-  m_context->log->Warning("feed_failed", {{"address", m_peer},
+  m_context->log->Warning("feed_failed", {{"address", m_peer.address},
                                           {"reason", reason},
                                           {"revision", m_revision.value()}});
-  m_choice->OnFailure(m_peer, m_context->loop->Now());
   m_short_watches = kStoreShortWatches;
   // What the other instance lost may come back the next moment; if all came at
   // once, the store would see a burst.
@@ -149,27 +169,30 @@
 }
 
 void StoreFollower::OnPeerReply(const std::optional<StoreReply>& reply) {
+  const TimePoint now = m_context->loop->Now();
   if (!reply) {
+    m_choice->OnFailure(m_peer.address, now);
     OnPeerFailure("no reply");
     return;
   }
-  if (reply->status != kOk) {
-    OnPeerFailure("behind its history");
-    return;
-  }
   FeedReply feed;
   try {
+    if (reply->status != kOk)
+      throw std::runtime_error("status " + std::to_string(reply->status));
     feed = DecodeFeedReply(reply->body);
   } catch (const std::exception& error) {
+    // Status 410: the history of the other instance starts later.
+    m_choice->OnUninformed(m_peer.address, now);
     OnPeerFailure(error.what());
     return;
   }
   Report(feed.changes, feed.revision);
-  if (!feed.in_contact) {
-    OnPeerFailure("it lost the store");
+  if (!feed.in_contact || (m_peer.direct_only && !feed.direct)) {
+    m_choice->OnUninformed(m_peer.address, now);
+    OnPeerFailure("it has lost the store");
     return;
   }
-  m_choice->OnSuccess(m_peer);
+  m_choice->OnSuccess(m_peer.address);
   OnAnswered();
   Follow();
 }
@@ -179,6 +202,7 @@
   for (const StoreItem& item : changes)
     m_events.on_change(item);
   m_revision = std::max(m_revision, revision);
+  m_check.SetRevision(m_revision);
   m_events.on_caught_up(m_revision);
 }
 
@@ -187,6 +211,8 @@
   if (m_short_watches > 0) {
     --m_short_watches;
     wait = kStoreShortWait;
+  } else if (m_choice->Witnesses(m_context->loop->Now()).empty()) {
+    wait = kLoneWatchWait;
   }
   m_client.Call(m_codec->Watch("", m_revision, wait), wait + kStoreWatchGrace,
                 [this](std::optional<StoreReply> reply) { OnEvents(reply); });
@@ -201,6 +227,7 @@
     return;
   }
   if (!reply || reply->status != kOk) {
+    m_choice->OnStoreFailure(m_context->loop->Now());
     Retry("watch", reply ? reply->status : 0, &StoreFollower::Follow);
     return;
   }
@@ -215,6 +242,7 @@
   }
   OnAnswered();
   m_context->metrics->CountStoreCall("watch", "ok");
+  m_choice->OnStoreSuccess();
   if (events.items.empty() && events.revision > m_revision) {
     // All keys are watched, so every new revision has its event: this watch
     // was opened in a gap of the history and heard nothing.
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -10,6 +10,7 @@
 #include "gateway/dialect.h"
 #include "gateway/feed_choice.h"
 #include "gateway/gateway_context.h"
+#include "gateway/revision_check.h"
 #include "gateway/store_client.h"
 
 namespace wasabihook::gateway {
@@ -24,6 +25,8 @@
   // The store stopped answering this instance, or answers again.
   std::function<void()> on_lost;
   std::function<void()> on_regained;
+  // This instance watches the store itself, or no longer does.
+  std::function<void(bool)> on_direct;
 };
 
 // Reads all keys of the store once and follows their changes, through another
@@ -51,7 +54,10 @@
   void Follow();
   void Watch();
   void OnEvents(const std::optional<StoreReply>& reply);
-  void AskPeer(const std::string& address);
+  void AskPeer(const FeedSource& source);
+  // The watch in progress hears nothing: drops it and turns elsewhere.
+  void OnDeafWatch();
+  void SetDirect(bool direct);
   void OnPeerReply(const std::optional<StoreReply>& reply);
   void OnPeerFailure(const char* reason);
   void Report(const std::vector<StoreItem>& changes, Revision revision);
@@ -68,7 +74,8 @@
   const StoreEvents m_events;
   StoreClient m_client;
   // Connection to the instance that is followed.
-  std::string m_peer;
+  FeedSource m_peer;
+  bool m_direct = false;
   std::unique_ptr<StoreClient> m_peer_client;
   std::unique_ptr<StoreClient> m_last_peer_client;
   std::vector<StoreItem> m_items;
@@ -83,6 +90,7 @@
   // Watches that are kept short, since the store was lost a moment ago.
   uint32_t m_short_watches = 0;
   std::optional<TimerHandle> m_timer;
+  RevisionCheck m_check;
 };
 
 }  // namespace wasabihook::gateway
