Ping the store beside a waiting watch and state contact only on evidence

Change: cheap stale reads every 0.8 s beside the watch; losing the feed ends the contact; lapse grace only after an absence of 2 s. Tests of the decisions in tests/gateway.

--- a/src/gateway/change_feed.cc
+++ b/src/gateway/change_feed.cc
@@ -14,6 +14,7 @@
 using nlohmann::json;
 
 constexpr std::string_view kTarget = "/changes?after=";
+constexpr std::string_view kDirectOnly = "&direct_only";
 constexpr std::string_view kRevisionTarget = "/revision";
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
@@ -60,10 +61,12 @@
   return out;
 }
 
-StoreCall FeedCall(Revision revision) {
-  return {.method = "GET",
-          .target = std::string(kTarget) + std::to_string(revision.value()),
-          .body = ""};
+StoreCall FeedCall(Revision revision, bool direct_only) {
+  std::string target(kTarget);
+  target += std::to_string(revision.value());
+  if (direct_only)
+    target += kDirectOnly;
+  return {.method = "GET", .target = std::move(target), .body = ""};
 }
 
 StoreCall RevisionCall() {
@@ -135,7 +138,8 @@
     port.Respond({.status = kBadRequest});
     return;
   }
-  if (!m_in_contact || Revision(after) < m_revision) {
+  const bool refused = target.ends_with(kDirectOnly) && !m_direct;
+  if (!m_in_contact || refused || Revision(after) < m_revision) {
     Answer(port, Revision(after));
     return;
   }
--- a/src/gateway/change_feed.h
+++ b/src/gateway/change_feed.h
@@ -31,8 +31,9 @@
 // Encoding of the feed: MessagePack. Decode throws std::runtime_error.
 std::string EncodeFeedReply(const FeedReply& reply);
 FeedReply DecodeFeedReply(std::string_view body);
-// Call that waits at an instance for changes after `revision`.
-StoreCall FeedCall(Revision revision);
+// Call that waits at an instance for changes after `revision`. `direct_only`:
+// an instance that does not watch the store itself answers at once.
+StoreCall FeedCall(Revision revision, bool direct_only);
 // Call that is answered at once, without changes.
 StoreCall RevisionCall();
 
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -141,6 +141,9 @@
   virtual StoreCall Watch(const std::string& prefix,
                           Revision revision,
                           Duration wait) const = 0;
+  // Cheap call that shows whether the store answers. The revision in its
+  // listing may be seconds old.
+  virtual StoreCall Ping() const = 0;
   virtual StoreListing DecodeListing(std::string_view body) const = 0;
   virtual StoreListing DecodeEvents(std::string_view body) const = 0;
   virtual StoreCall GrantLease(Duration ttl) const = 0;
@@ -150,7 +153,6 @@
                         std::string_view value,
                         uint64_t lease) const = 0;
   virtual StoreCall RenewLease(uint64_t lease) const = 0;
-  virtual StoreCall EndLease(uint64_t lease) const = 0;
   // The history before the revision asked for is gone: list again.
   virtual bool IsCompacted(int status) const = 0;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -89,8 +89,9 @@
                           m_feed->SetInContact(false);
                       },
                   .on_regained =
-                      [this] {
-                        m_directory.OnStoreRegained();
+                      [this](Duration away) {
+                        if (away >= kLapseAway)
+                          m_directory.OnStoreRegained();
                         if (m_feed != nullptr)
                           m_feed->SetInContact(true);
                       },
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -70,6 +70,9 @@
 // Grace of a mass removal without a known outage of the store; leaves room
 // within the drain bound of 3 s.
 inline constexpr Duration kMassRemovalGrace = milliseconds(1300);
+// Entries can lapse only if the store was away for longer than this: they live
+// for three heartbeats of at least a second.
+inline constexpr Duration kLapseAway = milliseconds(2000);
 // Share of the known servers removed at once from which a lapse is assumed.
 inline constexpr double kLapseShare = 0.25;
 
@@ -129,6 +132,9 @@
 inline constexpr Duration kStoreUserTimeout = seconds(2);
 inline constexpr Duration kStoreBackoff = milliseconds(200);
 inline constexpr Duration kStoreMaxBackoff = milliseconds(1000);
+// Cheap calls that show whether the store still answers while a watch waits.
+inline constexpr Duration kStorePingPeriod = milliseconds(800);
+inline constexpr Duration kStorePingTimeout = milliseconds(800);
 // Added to the wait of a watch before it counts as lost.
 inline constexpr Duration kStoreWatchGrace = milliseconds(1500);
 // Lifetime of the entry that an instance registers, the longest that the store
--- a/src/gateway/revision_check.cc
+++ b/src/gateway/revision_check.cc
@@ -69,18 +69,26 @@
     if (!m_active || !state.in_contact ||
         !m_deaf.Observe(state.revision, m_revision, now))
       return;
-    m_context->log->Warning("watch_deaf",
-                            {{"revision", m_revision.value()},
-                             {"elsewhere", state.revision.value()},
-                             {"address", m_address}});
+    m_choice->OnBetterInformed(m_address);
+    GiveUp(state.revision, m_address);
   } catch (const std::exception& error) {
     m_context->log->Warning("feed_invalid", {{"address", m_address},
                                              {"reason", error.what()}});
     m_choice->OnFailure(m_address, now);
-    return;
   }
+}
+
+void RevisionCheck::Observe(Revision revision) {
+  if (m_active &&
+      m_deaf.Observe(revision, m_revision, m_context->loop->Now()))
+    GiveUp(revision, m_context->settings->store_address);
+}
+
+void RevisionCheck::GiveUp(Revision elsewhere, const std::string& address) {
+  m_context->log->Warning("watch_deaf", {{"revision", m_revision.value()},
+                                         {"elsewhere", elsewhere.value()},
+                                         {"address", address}});
   m_deaf.Reset();
-  m_choice->OnBetterInformed(m_address);
   m_on_deaf();
 }
 
--- a/src/gateway/revision_check.h
+++ b/src/gateway/revision_check.h
@@ -51,10 +51,13 @@
   // Starts or ends the checks.
   void SetActive(bool active);
   void SetRevision(Revision revision) { m_revision = revision; }
+  // The store itself has shown this revision in another reply.
+  void Observe(Revision revision);
 
  private:
   void Check();
   void OnReply(const std::optional<StoreReply>& reply);
+  void GiveUp(Revision elsewhere, const std::string& address);
 
   GatewayContext* const m_context;
   FeedChoice* const m_choice;
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -26,10 +26,15 @@
       m_rearm_delay(rearm_delay),
       m_events(std::move(events)),
       m_client(context->loop, context->settings->store_address),
+      m_ping_client(context->loop, context->settings->store_address),
+      m_ping_timer(context->loop->SubscribeEvery(kStorePingPeriod,
+                                                 [this] { Ping(); })),
+      m_last_heard(context->loop->Now()),
       m_check(context, choice, rearm_delay + kRevisionCheckPeriod,
               [this] { OnDeafWatch(); }) {}
 
 StoreFollower::~StoreFollower() {
+  m_context->loop->Unsubscribe(m_ping_timer);
   if (m_timer)
     m_context->loop->Unsubscribe(*m_timer);
 }
@@ -43,29 +48,65 @@
 
 void StoreFollower::OnAnswered() {
   m_backoff = Duration(0);
+  const TimePoint now = m_context->loop->Now();
+  const Duration away = now - m_last_heard;
+  m_last_heard = now;
   if (m_in_contact)
     return;
   m_in_contact = true;
-  m_context->log->Info("store_regained", {});
-  m_events.on_regained();
+  m_context->log->Info("store_regained", {{"away_ms", away.count() / 1000}});
+  m_events.on_regained(away);
+}
+
+void StoreFollower::Lose(const char* call, int status) {
+  if (!m_in_contact)
+    return;
+  m_in_contact = false;
+  m_context->log->Warning("store_lost", {{"call", call},
+                                         {"status", status},
+                                         {"revision", m_revision.value()}});
+  m_events.on_lost();
 }
 
 void StoreFollower::Retry(const char* call,
                           int status,
                           void (StoreFollower::*step)()) {
   m_context->metrics->CountStoreCall(call, status == 0 ? "lost" : "refused");
-  if (m_in_contact) {
-    m_in_contact = false;
-    m_context->log->Warning("store_lost", {{"call", call},
-                                           {"status", status},
-                                           {"revision", m_revision.value()}});
-    m_events.on_lost();
-  }
+  Lose(call, status);
   m_backoff = std::clamp(m_backoff * 2, kStoreBackoff, kStoreMaxBackoff);
   m_short_watches = kStoreShortWatches;
   Later(Jittered(m_backoff), step);
 }
 
+// A watch that waits shows nothing of the store; other instances rely on this
+// one to know when it is gone.
+void StoreFollower::Ping() {
+  if (!m_direct || !m_client.busy() || m_ping_client.busy())
+    return;
+  m_ping_client.Call(
+      m_codec->Ping(), kStorePingTimeout,
+      [this](const std::optional<StoreReply>& reply) { OnPing(reply); });
+}
+
+void StoreFollower::OnPing(const std::optional<StoreReply>& reply) {
+  if (!m_direct || !m_client.busy())
+    return;
+  if (reply && reply->status == kOk) {
+    m_context->metrics->CountStoreCall("ping", "ok");
+    OnAnswered();
+    try {
+      m_check.Observe(m_codec->DecodeListing(reply->body).revision);
+    } catch (const std::exception& error) {
+      m_context->log->Warning("store_reply_invalid",
+                              {{"call", "ping"}, {"reason", error.what()}});
+    }
+    return;
+  }
+  m_client.Cancel();
+  m_choice->OnStoreFailure(m_context->loop->Now());
+  Retry("ping", reply ? reply->status : 0, &StoreFollower::Follow);
+}
+
 // Half of the delay is random, so that instances do not return together.
 Duration StoreFollower::Jittered(Duration delay) const {
   return Duration(static_cast<int64_t>(static_cast<double>(delay.count()) *
@@ -146,7 +187,7 @@
   }
   m_peer = source;
   m_peer_client->Call(
-      FeedCall(m_revision), kFeedTimeout,
+      FeedCall(m_revision, source.direct_only), kFeedTimeout,
       [this](std::optional<StoreReply> reply) { OnPeerReply(reply); });
 }
 
@@ -163,6 +204,13 @@
                                           {"reason", reason},
                                           {"revision", m_revision.value()}});
   m_short_watches = kStoreShortWatches;
+  // Until the store or another instance answers, this one knows nothing that
+  // others could rely on.
+  Lose("feed", 0);
+  // A stand-in that fails is followed by the store, not by the next stand-in:
+  // the store is more likely back than they are better informed.
+  if (m_peer.direct_only)
+    m_choice->OnStoreSuccess();
   // What the other instance lost may come back the next moment; if all came at
   // once, the store would see a burst.
   Later(Jittered(kStoreBackoff), &StoreFollower::Follow);
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -24,7 +24,8 @@
   std::function<void(Revision)> on_caught_up;
   // The store stopped answering this instance, or answers again.
   std::function<void()> on_lost;
-  std::function<void()> on_regained;
+  // `away`: time since it was last heard of.
+  std::function<void(Duration away)> on_regained;
   // This instance watches the store itself, or no longer does.
   std::function<void(bool)> on_direct;
 };
@@ -58,6 +59,10 @@
   // The watch in progress hears nothing: drops it and turns elsewhere.
   void OnDeafWatch();
   void SetDirect(bool direct);
+  void Ping();
+  void OnPing(const std::optional<StoreReply>& reply);
+  // Nothing shows any more that the store is there.
+  void Lose(const char* call, int status);
   void OnPeerReply(const std::optional<StoreReply>& reply);
   void OnPeerFailure(const char* reason);
   void Report(const std::vector<StoreItem>& changes, Revision revision);
@@ -73,6 +78,8 @@
   const Duration m_rearm_delay;
   const StoreEvents m_events;
   StoreClient m_client;
+  StoreClient m_ping_client;
+  TimerHandle m_ping_timer;
   // Connection to the instance that is followed.
   FeedSource m_peer;
   bool m_direct = false;
@@ -86,6 +93,7 @@
   std::string m_after;
   bool m_listed_once = false;
   bool m_in_contact = true;
+  TimePoint m_last_heard;
   Duration m_backoff{0};
   // Watches that are kept short, since the store was lost a moment ago.
   uint32_t m_short_watches = 0;
--- /dev/null
+++ b/tests/gateway/feed_test.cc
@@ -0,0 +1,103 @@
+// From where an instance takes the changes of the store.
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+#include "gateway/change_feed.h"
+#include "gateway/feed_choice.h"
+#include "gateway/revision_check.h"
+
+namespace wasabihook::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart{seconds(1000)};
+
+FeedChoice MakeChoice(const char* self) {
+  FeedChoice choice(InstanceId(self), DataCentreId("a"));
+  choice.Set(InstanceId("a-1"), {DataCentreId("a"), "10.0.0.1:1"});
+  choice.Set(InstanceId("a-2"), {DataCentreId("a"), "10.0.0.2:1"});
+  choice.Set(InstanceId("a-3"), {DataCentreId("a"), "10.0.0.3:1"});
+  choice.Set(InstanceId("b-1"), {DataCentreId("b"), "10.0.1.1:1"});
+  choice.Set(InstanceId("c-1"), {DataCentreId("c"), "10.0.2.1:1"});
+  return choice;
+}
+
+// Guards against a watch on every instance: each return is a priced call.
+TEST(FeedChoice, OnlyTheFirstOfADataCentreWatchesTheStore) {
+  EXPECT_TRUE(MakeChoice("a-1").Choose(kStart).is_store());
+  EXPECT_EQ(MakeChoice("a-2").Choose(kStart).address, "10.0.0.1:1");
+  EXPECT_EQ(MakeChoice("a-3").Choose(kStart).address, "10.0.0.1:1");
+}
+
+// Guards against instances that follow one that is gone.
+TEST(FeedChoice, TurnsToTheNextAndThenToTheStore) {
+  FeedChoice choice = MakeChoice("a-3");
+  choice.OnFailure("10.0.0.1:1", kStart);
+  EXPECT_EQ(choice.Choose(kStart).address, "10.0.0.2:1");
+  choice.OnUninformed("10.0.0.2:1", kStart);
+  EXPECT_TRUE(choice.Choose(kStart).is_store());
+  EXPECT_EQ(choice.Choose(kStart + seconds(4)).address, "10.0.0.1:1");
+}
+
+// Guards against an instance that the store turns away while it serves others:
+// it goes on with an instance that watches the store itself.
+TEST(FeedChoice, FollowsAnotherDataCentreWhileTheStoreRefuses) {
+  FeedChoice choice = MakeChoice("a-1");
+  choice.OnStoreFailure(kStart);
+  const FeedSource source = choice.Choose(kStart);
+  EXPECT_EQ(source.address, "10.0.1.1:1");
+  EXPECT_TRUE(source.direct_only);
+  choice.OnBetterInformed("10.0.2.1:1");
+  EXPECT_EQ(choice.Choose(kStart).address, "10.0.2.1:1");
+  EXPECT_TRUE(choice.Choose(kStart + seconds(3)).is_store());
+}
+
+// Guards against a watch that the store keeps open in silence.
+TEST(DeafWatch, RevisionThatStaysUnknownShowsIt) {
+  DeafWatch deaf(milliseconds(700));
+  EXPECT_FALSE(deaf.Observe(Revision(12), Revision(10), kStart));
+  EXPECT_FALSE(
+      deaf.Observe(Revision(12), Revision(10), kStart + milliseconds(500)));
+  EXPECT_TRUE(
+      deaf.Observe(Revision(12), Revision(10), kStart + milliseconds(800)));
+}
+
+// Guards against giving up a watch that is only a little behind in a burst.
+TEST(DeafWatch, CatchingUpWithTheAwaitedRevisionIsEnough) {
+  DeafWatch deaf(milliseconds(700));
+  EXPECT_FALSE(deaf.Observe(Revision(12), Revision(10), kStart));
+  EXPECT_FALSE(
+      deaf.Observe(Revision(20), Revision(12), kStart + milliseconds(600)));
+  EXPECT_FALSE(
+      deaf.Observe(Revision(20), Revision(13), kStart + milliseconds(900)));
+}
+
+TEST(FeedReply, SurvivesEncoding) {
+  FeedReply reply;
+  reply.in_contact = true;
+  reply.revision = Revision(9);
+  reply.changes.push_back({.key = "k",
+                           .value = std::string("\xff\x00{", 3),
+                           .revision = Revision(8),
+                           .removed = false});
+  const FeedReply back = DecodeFeedReply(EncodeFeedReply(reply));
+  EXPECT_TRUE(back.in_contact);
+  EXPECT_FALSE(back.direct);
+  EXPECT_EQ(back.revision, Revision(9));
+  ASSERT_EQ(back.changes.size(), 1U);
+  EXPECT_EQ(back.changes[0].value, std::string("\xff\x00{", 3));
+}
+
+TEST(InstanceRecord, SurvivesEncodingAndRejectsOthers) {
+  const InstanceRecord back =
+      DecodeInstance(EncodeInstance({DataCentreId("a"), "10.0.0.1:1"}));
+  EXPECT_EQ(back.feed_address, "10.0.0.1:1");
+  EXPECT_THROW(DecodeInstance("a"), std::exception);
+}
+
+}  // namespace
+}  // namespace wasabihook::gateway
--- /dev/null
+++ b/tests/gateway/policy_test.cc
@@ -0,0 +1,291 @@
+// Decisions of the gateway that need no network.
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <string>
+#include <vector>
+
+#include "gateway/answer_policy.h"
+#include "gateway/hedge_delay.h"
+#include "gateway/repeat_budget.h"
+#include "gateway/replica_cost.h"
+#include "gateway/route_table.h"
+#include "gateway/server_health.h"
+#include "gateway/top_records.h"
+#include "gateway/weighted_choice.h"
+
+namespace wasabihook::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint At(Duration since_start) {
+  return TimePoint{seconds(1000)} + since_start;
+}
+
+// --- Answers over many shards ---
+
+AnswerInput Input(uint32_t answered, uint32_t failed) {
+  return {.total = 20,
+          .needed = 18,
+          .answered = answered,
+          .failed = failed,
+          .objective_passed = false,
+          .deadline_passed = false};
+}
+
+// Guards against answers that leave out parts which could still have come.
+TEST(AnswerPolicy, WaitsForAllPartsBeforeTheObjective) {
+  EXPECT_EQ(DecideAnswer(Input(19, 0)), AnswerDecision::kWait);
+  EXPECT_EQ(DecideAnswer(Input(20, 0)), AnswerDecision::kAnswer);
+}
+
+// Guards against an answer that misses the objective for one slow shard.
+TEST(AnswerPolicy, AnswersWithTheLeastShareAtTheObjective) {
+  AnswerInput input = Input(18, 0);
+  input.objective_passed = true;
+  EXPECT_EQ(DecideAnswer(input), AnswerDecision::kAnswer);
+  input.answered = 17;
+  EXPECT_EQ(DecideAnswer(input), AnswerDecision::kWait);
+}
+
+// Guards against callers that wait for a request that cannot succeed any more.
+TEST(AnswerPolicy, FailsAsSoonAsTheLeastShareIsOutOfReach) {
+  EXPECT_EQ(DecideAnswer(Input(0, 3)), AnswerDecision::kFail);
+  EXPECT_EQ(DecideAnswer(Input(18, 2)), AnswerDecision::kAnswer);
+}
+
+RC_GTEST_PROP(AnswerPolicy, NeverAnswersBelowTheLeastShare, ()) {
+  const auto total = *rc::gen::inRange<uint32_t>(1, 200);
+  const auto needed = *rc::gen::inRange<uint32_t>(1, total + 1);
+  const auto answered = *rc::gen::inRange<uint32_t>(0, total + 1);
+  const auto failed = *rc::gen::inRange<uint32_t>(0, total - answered + 1);
+  const AnswerInput input{.total = total,
+                          .needed = needed,
+                          .answered = answered,
+                          .failed = failed,
+                          .objective_passed = *rc::gen::arbitrary<bool>(),
+                          .deadline_passed = *rc::gen::arbitrary<bool>()};
+  const AnswerDecision decision = DecideAnswer(input);
+  if (decision == AnswerDecision::kAnswer)
+    RC_ASSERT(answered >= needed);
+  // Every request ends at its deadline, and when all parts are settled.
+  if (input.deadline_passed || answered + failed == total)
+    RC_ASSERT(decision != AnswerDecision::kWait);
+}
+
+TEST(NeededParts, RoundsUpWithoutBinaryError) {
+  EXPECT_EQ(NeededParts(Fraction{0.9}, 20), 18U);
+  EXPECT_EQ(NeededParts(Fraction{0.89}, 20), 18U);
+  EXPECT_EQ(NeededParts(Fraction{0.95}, 90), 86U);
+  EXPECT_EQ(NeededParts(Fraction{0.0}, 90), 1U);
+  EXPECT_EQ(NeededParts(Fraction{1.0}, 90), 90U);
+}
+
+// --- Merge ---
+
+// Guards against a merge that differs from sorting all records.
+RC_GTEST_PROP(TopRecords, EqualsSortedRecords, ()) {
+  const auto parts = *rc::gen::container<std::vector<std::string>>(
+      rc::gen::container<std::string>(rc::gen::elementOf(std::string("ab"))));
+  const auto count = *rc::gen::inRange<size_t>(0, 12);
+  std::vector<std::string> records;
+  for (const std::string& part : parts) {
+    for (size_t i = 0; i + kRecordBytes <= part.size(); i += kRecordBytes)
+      records.push_back(part.substr(i, kRecordBytes));
+  }
+  std::sort(records.rbegin(), records.rend());
+  records.resize(std::min(count, records.size()));
+  std::string expected;
+  for (const std::string& record : records)
+    expected += record;
+  RC_ASSERT(MergeTopRecords(parts, count) == expected);
+}
+
+TEST(TopRecords, ComparesBytesAsUnsignedAndKeepsEqualOnes) {
+  const std::string low(kRecordBytes, '\x7f');
+  const std::string high(kRecordBytes, '\xff');
+  EXPECT_EQ(MergeTopRecords({low + "rest", high + high}, 3),
+            high + high + low);
+}
+
+// --- Repeats ---
+
+ServiceBounds Bounds(double slack) {
+  ServiceBounds out;
+  out.retry_ratio = 0.2;
+  out.retry_slack = slack;
+  out.retry_window = seconds(10);
+  return out;
+}
+
+// Guards against a sum of all instances that exceeds the bound of a service in
+// some window, for load that comes and goes.
+RC_GTEST_PROP(RepeatBudget, StaysWithinTheBoundInEveryWindow, ()) {
+  constexpr uint32_t kInstances = 4;
+  const double slack = *rc::gen::inRange(10, 200);
+  RepeatBudget budget;
+  budget.Configure(Bounds(slack), kInstances);
+  struct Event {
+    Duration at;
+    bool first;
+  };
+  std::vector<Event> events;
+  Duration now{0};
+  const auto steps =
+      *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 400));
+  for (const int step : steps) {
+    now += milliseconds(step);
+    if (step % 3 == 0) {
+      budget.OnFirstSend(At(now));
+      events.push_back({now, true});
+    } else if (budget.TrySpend(At(now))) {
+      events.push_back({now, false});
+    }
+  }
+  for (const Event& start : events) {
+    double firsts = 0;
+    double repeats = 0;
+    for (const Event& event : events) {
+      if (event.at < start.at || event.at - start.at >= seconds(10))
+        continue;
+      (event.first ? firsts : repeats) += 1;
+    }
+    // The requests of the window before count too, if they are more; this is
+    // the stricter reading plus the sends of one window before.
+    double before = 0;
+    for (const Event& event : events) {
+      if (event.first && event.at < start.at &&
+          start.at - event.at <= seconds(10))
+        before += 1;
+    }
+    RC_ASSERT(repeats <= slack / kInstances + 0.2 * (firsts + before));
+  }
+}
+
+// Guards against a budget that gives out the slack only once: on sites with
+// many instances the hedges ran dry after the first query.
+TEST(RepeatBudget, SlackReturnsWithTheWindow) {
+  RepeatBudget budget;
+  budget.Configure(Bounds(40), 10);
+  int spent = 0;
+  while (budget.TrySpend(At(seconds(0))))
+    ++spent;
+  EXPECT_EQ(spent, 3);  // 40 x 0.85 / 10
+  EXPECT_FALSE(budget.TrySpend(At(seconds(9))));
+  EXPECT_TRUE(budget.TrySpend(At(seconds(12))));
+}
+
+TEST(RepeatBudget, RefundedRepeatCanBeSpentAgain) {
+  RepeatBudget budget;
+  budget.Configure(Bounds(13), 10);
+  ASSERT_TRUE(budget.TrySpend(At(seconds(0))));
+  ASSERT_FALSE(budget.TrySpend(At(seconds(0))));
+  budget.Refund();
+  EXPECT_TRUE(budget.TrySpend(At(seconds(0))));
+}
+
+// --- Choice of a replica ---
+
+// Guards against queues at a slow server: its requests go to the faster one of
+// another data centre once they would take over twice as long.
+TEST(ReplicaCost, SlowLocalServerLosesToUsualRemoteOne) {
+  ReplicaView local;
+  ReplicaView remote;
+  remote.remote = true;
+  EXPECT_LT(ReplicaCost(local), ReplicaCost(remote));
+  local.slowness = 4;
+  EXPECT_GT(ReplicaCost(local), ReplicaCost(remote));
+}
+
+TEST(ReplicaCost, StalledOrFailingServerIsLastChoice) {
+  ReplicaView loaded;
+  loaded.outstanding = 6;
+  loaded.slots = 2;
+  loaded.slowness = 3;
+  loaded.remote = true;
+  ReplicaView stalled;
+  stalled.stalled = true;
+  ReplicaView failing;
+  failing.failure_share = 1;
+  EXPECT_LT(ReplicaCost(loaded), ReplicaCost(stalled));
+  EXPECT_LT(ReplicaCost(ReplicaView{.outstanding = 2, .slots = 2}),
+            ReplicaCost(failing));
+}
+
+// --- Health of a server ---
+
+// Guards against new work for a server that has paused: replies owed for four
+// times the usual latency mark it before a hedge would.
+TEST(ServerHealth, OwedRepliesMeanAStall) {
+  const Duration usual = milliseconds(5);
+  EXPECT_FALSE(ServerHealth::IsStalled(At(milliseconds(0)), TimePoint(), usual,
+                                       At(milliseconds(15))));
+  EXPECT_TRUE(ServerHealth::IsStalled(At(milliseconds(0)), TimePoint(), usual,
+                                      At(milliseconds(25))));
+  // A reply in between shows that the server works.
+  EXPECT_FALSE(ServerHealth::IsStalled(At(milliseconds(0)),
+                                       At(milliseconds(20)), usual,
+                                       At(milliseconds(25))));
+}
+
+TEST(ServerHealth, UnreachableServerIsProbedAfterAGrowingTime) {
+  ServerHealth health;
+  health.OnUnreachable(At(seconds(0)), 0);
+  EXPECT_TRUE(health.down());
+  EXPECT_FALSE(health.ProbeDue(At(milliseconds(200))));
+  EXPECT_TRUE(health.ProbeDue(At(milliseconds(300))));
+  health.OnUnreachable(At(milliseconds(300)), 0);
+  EXPECT_FALSE(health.ProbeDue(At(milliseconds(700))));
+  health.OnConnected(At(seconds(1)));
+  EXPECT_FALSE(health.down());
+}
+
+// Guards against two servers of a shard that are both out after one broken
+// reply each.
+TEST(ServerHealth, BrokenReplyDoesNotTakeAServerOut) {
+  ServerHealth health;
+  health.OnBrokenConnection();
+  EXPECT_FALSE(health.down());
+  EXPECT_GT(health.failure_share(), 0);
+}
+
+// --- Hedges ---
+
+TEST(HedgeDelay, FollowsTheSlowRepliesOfTheRoute) {
+  HedgeDelay delay;
+  const Duration objective = milliseconds(80);
+  EXPECT_EQ(delay.For(objective), milliseconds(28));
+  for (int i = 0; i < 200; ++i)
+    delay.Observe(milliseconds(i % 10 == 0 ? 9 : 5));
+  EXPECT_GE(delay.For(objective), milliseconds(5));
+  EXPECT_LE(delay.For(objective), milliseconds(16));
+  EXPECT_GT(delay.usual(), milliseconds(4));
+}
+
+// --- Splits ---
+
+// Guards against a share that is off its weight in any run of requests.
+RC_GTEST_PROP(WeightedChoice, KeepsSharesInEveryPrefix, ()) {
+  const auto weights = *rc::gen::container<std::vector<double>>(
+      3, rc::gen::map(rc::gen::inRange(1, 20),
+                      [](int weight) { return static_cast<double>(weight); }));
+  WeightedChoice choice;
+  choice.SetWeights(weights);
+  const double total = weights[0] + weights[1] + weights[2];
+  std::vector<int> counts(3);
+  for (int i = 1; i <= 300; ++i) {
+    ++counts[choice.Next()];
+    for (size_t k = 0; k < 3; ++k)
+      RC_ASSERT(std::abs(counts[k] - i * weights[k] / total) < 3);
+  }
+}
+
+}  // namespace
+}  // namespace wasabihook::gateway
