--- a/src/gateway/backend_server.cc
+++ b/src/gateway/backend_server.cc
@@ -6,6 +6,7 @@
 namespace wasabihook::gateway {
 namespace {
 
+constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
 
 }  // namespace
@@ -232,6 +233,11 @@
     return AttemptOutcome::kWrongServer;
   if (reply.headers().Has(dialect.headers.not_run))
     return AttemptOutcome::kRefused;
+  // A success without its proof is none.
+  const bool unproven = reply.status() < kFirstRedirect &&
+                        !reply.headers().Has(dialect.headers.proof);
+  if (unproven)
+    return AttemptOutcome::kLost;
   return reply.status() >= kFirstServerError ? AttemptOutcome::kFailure
                                              : AttemptOutcome::kReply;
 }
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -22,7 +22,8 @@
                                RequestHandler handler)
     : m_loop(loop),
       m_handler(std::move(handler)),
-      m_socket(OpenListenSocket(address)) {
+      m_socket(OpenListenSocket(address)),
+      m_address(BoundAddress(m_socket.fd())) {
   // The default backlog of the helper is kept small for tests.
   listen(m_socket.fd(), kListenBacklog);
   m_loop->Watch(m_socket.fd(), EPOLLIN, this);
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -64,6 +64,8 @@
   CallerListener(const CallerListener&) = delete;
   CallerListener& operator=(const CallerListener&) = delete;
 
+  // Bound address, "ip:port" with the port in use.
+  const std::string& address() const { return m_address; }
   // Limits of the present configuration.
   void SetLimits(const CallerLimits& limits) { m_limits = limits; }
   const CallerLimits& limits() const { return m_limits; }
@@ -92,6 +94,7 @@
   const RequestHandler m_handler;
   CallerLimits m_limits;
   Socket m_socket;
+  std::string m_address;
   bool m_draining = false;
   std::unordered_map<CallerConnection*, std::unique_ptr<CallerConnection>>
       m_connections;
--- a/src/gateway/change_feed.h
+++ b/src/gateway/change_feed.h
@@ -46,6 +46,7 @@
   ChangeFeed(const ChangeFeed&) = delete;
   ChangeFeed& operator=(const ChangeFeed&) = delete;
 
+  const std::string& address() const { return m_listener.address(); }
   // The history starts anew at `revision`.
   void Restart(Revision revision);
   // Adds a change; Publish() sends it.
--- a/src/gateway/event_loop.cc
+++ b/src/gateway/event_loop.cc
@@ -126,6 +126,7 @@
 
 void EventLoop::Run() {
   std::array<epoll_event, kEventsPerWait> events{};
+  m_stopped = false;
   while (!m_stopped) {
     Refresh();
     const int count =
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -203,7 +203,8 @@
   if (!std::exchange(m_listed, true))
     m_registration.Start(
         EncodeInstance({.data_centre = m_settings.data_centre,
-                        .feed_address = m_settings.feed_address}),
+                        .feed_address =
+                            m_feed != nullptr ? m_feed->address() : ""}),
         m_feed_choice.Has(m_settings.instance));
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,6 +42,11 @@
 
   const GatewayMetrics& metrics() const { return m_metrics; }
   bool ready() const;
+  // Bound addresses, "ip:port".
+  const std::string& caller_address() const { return m_callers.address(); }
+  const std::string& metrics_address() const {
+    return m_metrics_listener->address();
+  }
 
  private:
   void OnRequest(InboundRequest request, ResponsePort& port);
--- /dev/null
+++ b/tests/gateway/stand_in.cc
@@ -0,0 +1,326 @@
+#include "gateway/stand_in.h"
+
+#include <b64/decode.h>
+#include <b64/encode.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+namespace wasabihook::gateway::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kAnyPort = "127.0.0.1:0";
+
+std::string ToBase64(const std::string& text) {
+  std::istringstream in(text);
+  std::ostringstream out;
+  base64::encoder encoder;
+  encoder.encode(in, out);
+  std::string encoded = out.str();
+  std::erase(encoded, '\n');
+  return encoded;
+}
+
+std::string FromBase64(const std::string& text) {
+  std::istringstream in(text);
+  std::ostringstream out;
+  base64::decoder decoder;
+  decoder.decode(in, out);
+  return out.str();
+}
+
+// Value of `name` in a query; the stand-ins need no percent-decoding.
+std::string Argument(const std::string& query, const std::string& name) {
+  std::istringstream in(query);
+  std::string part;
+  while (std::getline(in, part, '&')) {
+    if (part.starts_with(name + "="))
+      return part.substr(name.size() + 1);
+  }
+  return "";
+}
+
+}  // namespace
+
+bool RunUntil(EventLoop& loop,
+              const std::function<bool()>& done,
+              Duration limit) {
+  loop.Refresh();
+  const TimePoint end = loop.Now() + limit;
+  bool met = false;
+  const TimerHandle timer =
+      loop.SubscribeEvery(std::chrono::milliseconds(1), [&] {
+        met = done();
+        if (met || loop.Now() >= end)
+          loop.Stop();
+      });
+  loop.Run();
+  loop.Unsubscribe(timer);
+  return met;
+}
+
+// --- Store ---
+
+StoreStandIn::StoreStandIn(EventLoop* loop)
+    : m_loop(loop) {
+  m_listener = std::make_unique<CallerListener>(
+      loop, kAnyPort,
+      [this](const InboundRequest& request, ResponsePort& port) {
+        OnRequest(request, port);
+      });
+  m_timer = loop->SubscribeEvery(std::chrono::milliseconds(5),
+                                 [this] { Notify(); });
+}
+
+StoreStandIn::~StoreStandIn() {
+  m_loop->Unsubscribe(m_timer);
+}
+
+uint32_t StoreStandIn::calls(const std::string& name) const {
+  const auto found = m_calls.find(name);
+  return found == m_calls.end() ? 0 : found->second;
+}
+
+void StoreStandIn::Put(const std::string& key, const std::string& value) {
+  m_items[key] = {.value = value, .revision = ++m_revision, .removed = false};
+  m_history.push_back({key, m_items[key]});
+}
+
+void StoreStandIn::Remove(const std::string& key) {
+  m_items.erase(key);
+  m_history.push_back(
+      {key, {.value = "", .revision = ++m_revision, .removed = true}});
+}
+
+void StoreStandIn::SetRefusing(bool refusing) {
+  m_refusing = refusing;
+  if (!refusing)
+    return;
+  for (const Watcher& watcher : std::exchange(m_watchers, {}))
+    watcher.port->Respond({.status = 503});
+}
+
+void StoreStandIn::Compact() {
+  m_history.clear();
+  m_compacted = m_revision;
+  for (const Watcher& watcher : std::exchange(m_watchers, {}))
+    watcher.port->Respond({.status = 410});
+}
+
+void StoreStandIn::OnRequest(const InboundRequest& request,
+                             ResponsePort& port) {
+  const size_t mark = request.target.find('?');
+  const std::string path = request.target.substr(0, mark);
+  const std::string query =
+      mark == std::string::npos ? "" : request.target.substr(mark + 1);
+  ++m_calls[path];
+  if (m_silent)
+    return;
+  if (m_refusing) {
+    port.Respond({.status = 503});
+  } else if (path == "/v1/kv-range") {
+    OnRange(query, port);
+  } else if (path == "/v1/kv-watch") {
+    OnWatch(query, port);
+  } else if (path == "/v1/kv-txn") {
+    OnTxn(request.body, port);
+  } else if (path == "/v1/kv-lease") {
+    port.Respond({.body = R"({"lease":7,"ttl_ms":600000})"});
+  } else {
+    port.Respond({.status = 404});
+  }
+}
+
+void StoreStandIn::OnRange(const std::string& query, ResponsePort& port) {
+  const std::string prefix = Argument(query, "path_prefix");
+  const std::string after = Argument(query, "after");
+  // Small pages, so that paging is used.
+  constexpr size_t kPage = 3;
+  json items = json::array();
+  bool truncated = false;
+  for (const auto& [key, item] : m_items) {
+    if (!key.starts_with(prefix) || key <= after)
+      continue;
+    if (items.size() == kPage) {
+      truncated = true;
+      break;
+    }
+    items.push_back({{"key", key},
+                     {"value", ToBase64(item.value)},
+                     {"revision", item.revision},
+                     {"created", item.revision},
+                     {"lease", 0}});
+  }
+  port.Respond({.body = json{{"items", items},
+                             {"truncated", truncated},
+                             {"current_rev", m_revision}}
+                            .dump()});
+}
+
+std::string StoreStandIn::EventsAfter(uint64_t revision, bool* any) const {
+  json events = json::array();
+  for (const Event& event : m_history) {
+    if (event.item.revision <= revision)
+      continue;
+    json entry = {{"key", event.key}, {"revision", event.item.revision}};
+    if (event.item.removed)
+      entry["removed"] = true;
+    else
+      entry["value"] = ToBase64(event.item.value);
+    events.push_back(std::move(entry));
+  }
+  *any = !events.empty();
+  return json{{"events", events}, {"current_rev", m_revision}}.dump();
+}
+
+void StoreStandIn::OnWatch(const std::string& query, ResponsePort& port) {
+  const uint64_t after = std::stoull(Argument(query, "after"));
+  if (after < m_compacted) {
+    port.Respond({.status = 410});
+    return;
+  }
+  const auto wait =
+      std::chrono::milliseconds(std::stoll(Argument(query, "wait_ms")));
+  m_watchers.push_back(
+      {.port = &port, .after = after, .until = m_loop->Now() + wait});
+  port.SetGoneHook([this, &port] {
+    std::erase_if(m_watchers, [&port](const Watcher& watcher) {
+      return watcher.port == &port;
+    });
+  });
+  Notify();
+}
+
+void StoreStandIn::Notify() {
+  if (m_silent)
+    return;
+  for (const Watcher& watcher : std::exchange(m_watchers, {})) {
+    bool any = false;
+    std::string body = EventsAfter(watcher.after, &any);
+    if (any || m_loop->Now() >= watcher.until)
+      watcher.port->Respond({.body = std::move(body)});
+    else
+      m_watchers.push_back(watcher);
+  }
+}
+
+void StoreStandIn::OnTxn(const std::string& body, ResponsePort& port) {
+  const json in = json::parse(body);
+  for (const json& write : in.at("writes"))
+    Put(write.at("key").get<std::string>(),
+        FromBase64(write.at("value").get<std::string>()));
+  port.Respond({.body = json{{"revision", m_revision}}.dump()});
+}
+
+// --- Server ---
+
+ServerStandIn::ServerStandIn(EventLoop* loop, std::string id, std::string body)
+    : m_id(std::move(id)),
+      m_body(std::move(body)),
+      m_listener(loop,
+                 kAnyPort,
+                 [this](const InboundRequest& request, ResponsePort& port) {
+                   OnRequest(request, port);
+                 }) {}
+
+std::string ServerStandIn::Entry(const std::string& service,
+                                 const std::string& state) const {
+  return json{{"backend", service}, {"address", address()},
+              {"zone", "a"},        {"version", "v1"},
+              {"slots", 2},         {"state", state},
+              {"warmup_left_ms", 0}, {"seq", 1},
+              {"born", 1}}
+      .dump();
+}
+
+void ServerStandIn::OnRequest(const InboundRequest& request,
+                              ResponsePort& port) {
+  ++m_arrivals;
+  const std::string id(request.headers->Find("X-Request-Id"));
+  if (m_fault == ServerFault::kRefuse) {
+    port.Respond({.status = 503, .header_lines = "X-Not-Executed: 1\r\n"});
+    return;
+  }
+  if (m_fault == ServerFault::kWrongServer ||
+      request.headers->Find("X-Target-Instance") != m_id) {
+    port.Respond({.status = 421, .header_lines = "X-Not-Executed: 1\r\n"});
+    return;
+  }
+  m_ran.push_back(id);
+  m_last_body = request.body;
+  m_last_deadline = request.headers->Find("X-Deadline-Ms");
+  port.SetGoneHook([this] { ++m_closed_early; });
+  const std::string proof = "X-Server-Stamp: " + m_id + "." + id + "\r\n";
+  const std::string echo = "X-Request-Id: " + id + "\r\n";
+  switch (m_fault) {
+    case ServerFault::kSilent:
+      return;
+    case ServerFault::kError:
+      port.Respond(
+          {.status = 500, .header_lines = proof + echo, .body = "failed"});
+      return;
+    case ServerFault::kNoProof:
+      port.Respond({.header_lines = echo, .body = m_body});
+      return;
+    case ServerFault::kForeignId:
+      port.Respond(
+          {.header_lines = proof + "X-Request-Id: other\r\n", .body = m_body});
+      return;
+    default:
+      port.Respond({.header_lines = proof + echo, .body = m_body});
+  }
+}
+
+// --- Caller ---
+
+CallerStandIn::CallerStandIn(EventLoop* loop, std::string address)
+    : m_loop(loop), m_address(std::move(address)) {}
+
+CallerStandIn::~CallerStandIn() {
+  Close();
+}
+
+void CallerStandIn::Send(const std::string& head, const std::string& body) {
+  m_reply.reset();
+  if (m_connection == nullptr || !m_connection->usable()) {
+    Close();
+    m_connection = std::make_unique<ServerConnection>(
+        m_loop, this, m_address, &m_no_field, Liveness());
+  }
+  m_connection->Send(head + "\r\n\r\n" + body, "", false);
+}
+
+void CallerStandIn::Close() {
+  if (m_connection == nullptr)
+    return;
+  m_connection->Close();
+  m_loop->Retire(std::move(m_connection));
+}
+
+void CallerStandIn::OnExchangeEnd(ServerConnection& connection,
+                                  WireOutcome outcome) {
+  CallerReply reply;
+  reply.outcome = outcome;
+  if (outcome == WireOutcome::kReply) {
+    reply.status = connection.reply().status();
+    const HeaderList& headers = connection.reply().headers();
+    for (size_t i = 0; i < headers.size(); ++i) {
+      std::string name(headers.at(i).name);
+      std::transform(name.begin(), name.end(), name.begin(), ::tolower);
+      reply.headers[name] = headers.at(i).value;
+    }
+    reply.body = connection.reply().TakeBody();
+  }
+  m_reply = std::move(reply);
+}
+
+void CallerStandIn::OnConnected(ServerConnection& /*connection*/) {}
+
+void CallerStandIn::OnClosed(ServerConnection& /*connection*/,
+                             bool /*failed*/) {}
+
+}  // namespace wasabihook::gateway::testing
--- /dev/null
+++ b/tests/gateway/stand_in.h
@@ -0,0 +1,159 @@
+#ifndef TESTS_GATEWAY_STAND_IN_H_
+#define TESTS_GATEWAY_STAND_IN_H_
+
+// Stand-ins of the platform's store and of its servers, written after their
+// published protocol, and a caller; all on one event loop.
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/caller_listener.h"
+#include "gateway/event_loop.h"
+#include "gateway/server_connection.h"
+#include "gateway/store_client.h"
+
+namespace wasabihook::gateway::testing {
+
+// Runs `loop` until `done` holds; false if that takes longer than `limit`.
+bool RunUntil(EventLoop& loop,
+              const std::function<bool()>& done,
+              Duration limit = std::chrono::seconds(5));
+
+// The platform's metadata store.
+class StoreStandIn {
+ public:
+  explicit StoreStandIn(EventLoop* loop);
+  ~StoreStandIn();
+
+  const std::string& address() const { return m_listener->address(); }
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  bool Has(const std::string& key) const { return m_items.contains(key); }
+
+  // Faults. Silent: calls are taken and never answered.
+  void SetSilent(bool silent) { m_silent = silent; }
+  void SetRefusing(bool refusing);
+  // Drops the history: waiting watches are cut, older revisions get 410.
+  void Compact();
+
+  uint32_t calls(const std::string& name) const;
+
+ private:
+  struct Item {
+    std::string value;
+    uint64_t revision = 0;
+    bool removed = false;
+  };
+  struct Event {
+    std::string key;
+    Item item;
+  };
+  struct Watcher {
+    ResponsePort* port = nullptr;
+    uint64_t after = 0;
+    TimePoint until;
+  };
+
+  void OnRequest(const InboundRequest& request, ResponsePort& port);
+  void OnRange(const std::string& query, ResponsePort& port);
+  void OnWatch(const std::string& query, ResponsePort& port);
+  void OnTxn(const std::string& body, ResponsePort& port);
+  std::string EventsAfter(uint64_t revision, bool* any) const;
+  void Notify();
+
+  EventLoop* const m_loop;
+  std::map<std::string, Item> m_items;
+  std::deque<Event> m_history;
+  uint64_t m_revision = 1;
+  uint64_t m_compacted = 0;
+  bool m_silent = false;
+  bool m_refusing = false;
+  std::vector<Watcher> m_watchers;
+  std::map<std::string, uint32_t> m_calls;
+  TimerHandle m_timer;
+  std::unique_ptr<CallerListener> m_listener;
+};
+
+// What a server stand-in does with a request.
+enum class ServerFault : uint8_t {
+  kNone,
+  kSilent,       // Takes the request and never answers.
+  kRefuse,       // 503, states that it did not run the request.
+  kWrongServer,  // 421.
+  kError,        // 500 of the server.
+  kNoProof,      // 200 without a proof.
+  kForeignId,    // 200 with the id of another request.
+};
+
+// A backend server: answers with a proof and a body.
+class ServerStandIn {
+ public:
+  ServerStandIn(EventLoop* loop, std::string id, std::string body);
+
+  const std::string& address() const { return m_listener.address(); }
+  const std::string& id() const { return m_id; }
+  void SetFault(ServerFault fault) { m_fault = fault; }
+  // Requests that were begun; their ids in order.
+  const std::vector<std::string>& ran() const { return m_ran; }
+  uint32_t arrivals() const { return m_arrivals; }
+  uint32_t closed_early() const { return m_closed_early; }
+  const std::string& last_body() const { return m_last_body; }
+  const std::string& last_deadline() const { return m_last_deadline; }
+  // Registry entry in the platform's format.
+  std::string Entry(const std::string& service,
+                    const std::string& state = "ready") const;
+
+ private:
+  void OnRequest(const InboundRequest& request, ResponsePort& port);
+
+  const std::string m_id;
+  const std::string m_body;
+  ServerFault m_fault = ServerFault::kNone;
+  uint32_t m_arrivals = 0;
+  uint32_t m_closed_early = 0;
+  std::vector<std::string> m_ran;
+  std::string m_last_body;
+  std::string m_last_deadline;
+  CallerListener m_listener;
+};
+
+struct CallerReply {
+  WireOutcome outcome = WireOutcome::kLost;
+  int status = 0;
+  std::map<std::string, std::string> headers;  // Names in lower case.
+  std::string body;
+};
+
+// A caller with one connection.
+class CallerStandIn : public ConnectionOwner {
+ public:
+  CallerStandIn(EventLoop* loop, std::string address);
+  ~CallerStandIn() override;
+
+  // `head`: request line and fields without the empty line.
+  void Send(const std::string& head, const std::string& body = "");
+  void Close();
+  bool done() const { return m_reply.has_value(); }
+  const CallerReply& reply() const { return *m_reply; }
+
+  void OnExchangeEnd(ServerConnection& connection,
+                     WireOutcome outcome) override;
+  void OnConnected(ServerConnection& connection) override;
+  void OnClosed(ServerConnection& connection, bool failed) override;
+
+ private:
+  EventLoop* const m_loop;
+  const std::string m_address;
+  const std::string m_no_field;
+  std::unique_ptr<ServerConnection> m_connection;
+  std::optional<CallerReply> m_reply;
+};
+
+}  // namespace wasabihook::gateway::testing
+
+#endif  // TESTS_GATEWAY_STAND_IN_H_
