Own each HTTP daemon with one thread and pass changes on along a tree

Cause 1: the listener took its socket out of the library's epoll set from another thread; libmicrohttpd aborts then. One thread now owns each daemon and wakes for resumed connections; a test stops a busy listener 200 times. Cause 2: the outcome of a request was counted after its answer was sent; it is counted before now. Cause 3: at 300 instances the busiest one sent 1,230 KB/s, since all of a data centre followed it; each now has eight followers at most.

--- a/src/decision/query/query_tier_actions.cc
+++ b/src/decision/query/query_tier_actions.cc
@@ -141,10 +141,11 @@
 }
 
 void QueryTierCore::Deliver(FinishAction finish, const ReplyCallback& done) {
-  done(std::move(finish.reply));
+  // Counted first: who reads the metrics after an answer must find it there.
   if (m_context.deps.on_outcome) {
     m_context.deps.on_outcome(finish.outcome);
   }
+  done(std::move(finish.reply));
 }
 
 void QueryTierCore::ReleaseAdmission(const RequestRun& run) {
--- a/src/gateway/feed_choice.cc
+++ b/src/gateway/feed_choice.cc
@@ -29,15 +29,13 @@
 }
 
 FeedSource FeedChoice::Choose(TimePoint now) const {
-  uint32_t asked = 0;
-  for (const auto& [id, record] : m_instances) {
-    if (id >= m_self || asked >= kFeedCandidates)
-      break;
-    if (record.data_centre != m_data_centre || record.feed_address.empty())
-      continue;
-    ++asked;
-    if (!IsAvoided(record.feed_address, now))
-      return {.address = record.feed_address, .direct_only = false};
+  const std::vector<std::string> before = Before();
+  // Parent in a tree with a bounded number of children, then its ancestors.
+  size_t position = before.size();
+  for (uint32_t asked = 0; position > 0 && asked < kFeedCandidates; ++asked) {
+    position = (position - 1) / kFeedChildren;
+    if (!IsAvoided(before[position], now))
+      return {.address = before[position], .direct_only = false};
   }
   if (now < m_store_avoided) {
     const std::vector<std::string> witnesses = Witnesses(now);
@@ -51,6 +49,17 @@
   return {};
 }
 
+std::vector<std::string> FeedChoice::Before() const {
+  std::vector<std::string> out;
+  for (const auto& [id, record] : m_instances) {
+    if (id >= m_self)
+      break;
+    if (record.data_centre == m_data_centre && !record.feed_address.empty())
+      out.push_back(record.feed_address);
+  }
+  return out;
+}
+
 std::vector<std::string> FeedChoice::Witnesses(TimePoint now) const {
   // The first instance of each data centre most likely watches the store.
   std::vector<std::string> out;
--- a/src/gateway/feed_choice.h
+++ b/src/gateway/feed_choice.h
@@ -36,8 +36,9 @@
 };
 
 // Decides from where this instance takes the changes. The instances of a data
-// centre stand in the order of their ids; each follows the first one before it
-// that works, and the first one watches the store. An instance whose own watch
+// centre form a tree in the order of their ids: each follows its parent, or the
+// parent's parent while that fails, and the first one watches the store. An
+// instance whose own watch
 // fails takes the changes from an instance of another data centre meanwhile.
 class FeedChoice {
  public:
@@ -75,6 +76,8 @@
     Duration delay{0};
   };
 
+  // Feeds of this data centre's instances that stand before this one.
+  std::vector<std::string> Before() const;
   bool IsAvoided(const std::string& address, TimePoint now) const;
 
   const InstanceId m_self;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -160,6 +160,9 @@
 // another data centre, and the wait of its watch if there is none.
 inline constexpr Duration kRevisionCheckPeriod = milliseconds(250);
 inline constexpr Duration kLoneWatchWait = milliseconds(1500);
+// Instances that follow one instance; bounds what it sends. Eight children
+// make three levels for a data centre of 450 instances.
+inline constexpr uint32_t kFeedChildren = 8;
 // Instances that are tried before the store is watched directly.
 inline constexpr uint32_t kFeedCandidates = 2;
 // Changes kept for instances that are behind.
--- a/src/runtime/http_listener.cc
+++ b/src/runtime/http_listener.cc
@@ -1,6 +1,8 @@
 #include "runtime/http_listener.h"
 
 #include <microhttpd.h>
+#include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,6 +13,8 @@
 #include <mutex>
 #include <set>
 #include <stdexcept>
+#include <thread>
+#include <vector>
 
 #include "runtime/close_watcher.h"
 #include "runtime/mhd_message.h"
@@ -29,6 +33,98 @@
 // that the caller gets the answer; closing with unread data would reset the
 // connection before the caller reads it.
 constexpr uint64_t kDiscardFactor = 8;
+// Longest sleep of a thread that owns a daemon, in milliseconds; bounds how
+// late time-outs of connections are.
+constexpr int kMaxPollMs = 500;
+
+// One libmicrohttpd daemon and the only thread that touches it while it runs.
+// The library aborts the process when another thread takes the listening socket
+// out of an epoll set that its own thread is waiting on.
+class DaemonThread {
+ public:
+  // Takes over `daemon`.
+  explicit DaemonThread(MHD_Daemon* daemon)
+      : m_daemon(daemon), m_wake_fd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    m_thread = std::thread([this] { Run(); });
+  }
+  ~DaemonThread() {
+    End();
+    close(m_wake_fd);
+  }
+  DaemonThread(const DaemonThread&) = delete;
+  DaemonThread& operator=(const DaemonThread&) = delete;
+
+  // Accepts no new connection; those in the backlog are still served.
+  void Quiesce() {
+    m_quiesce = true;
+    Wake();
+  }
+  // Makes the thread look at its connections. A connection that is resumed
+  // while the library runs does not wake it.
+  void Wake() {
+    const uint64_t one = 1;
+    [[maybe_unused]] const ssize_t written =
+        write(m_wake_fd, &one, sizeof(one));
+  }
+  // Ends the thread and the daemon. No connection may be suspended.
+  void End() {
+    if (!m_thread.joinable())
+      return;
+    m_end = true;
+    Wake();
+    m_thread.join();
+    MHD_stop_daemon(m_daemon);
+  }
+
+ private:
+  void Run() {
+    const MHD_DaemonInfo* info =
+        MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    pollfd fds[] = {{.fd = info->epoll_fd, .events = POLLIN, .revents = 0},
+                    {.fd = m_wake_fd, .events = POLLIN, .revents = 0}};
+    while (!m_end) {
+      poll(fds, 2, Timeout());
+      uint64_t count = 0;
+      [[maybe_unused]] const ssize_t drained =
+          read(m_wake_fd, &count, sizeof(count));
+      if (m_quiesce.exchange(false))
+        TakeBacklog();
+      MHD_run(m_daemon);
+    }
+  }
+
+  int Timeout() const {
+    MHD_UNSIGNED_LONG_LONG millis = 0;
+    if (MHD_get_timeout(m_daemon, &millis) != MHD_YES)
+      return kMaxPollMs;
+    return static_cast<int>(
+        std::min<MHD_UNSIGNED_LONG_LONG>(millis, kMaxPollMs));
+  }
+
+  // Connections that callers opened before the socket closes are served too.
+  void TakeBacklog() {
+    const int fd = MHD_quiesce_daemon(m_daemon);
+    if (fd < 0)
+      return;
+    while (true) {
+      sockaddr_storage peer{};
+      socklen_t length = sizeof(peer);
+      auto* address = reinterpret_cast<sockaddr*>(&peer);
+      const int accepted =
+          accept4(fd, address, &length, SOCK_CLOEXEC | SOCK_NONBLOCK);
+      if (accepted < 0)
+        break;
+      MHD_add_connection(m_daemon, accepted, address, length);
+    }
+    close(fd);
+  }
+
+  MHD_Daemon* const m_daemon;
+  const int m_wake_fd;
+  std::atomic<bool> m_quiesce{false};
+  std::atomic<bool> m_end{false};
+  std::thread m_thread;
+};
 
 }  // namespace
 
@@ -98,7 +194,7 @@
   MHD_Result SendAnswer(Exchange& exchange);
   void Answer(const ExchangePtr& exchange, HttpResponse response);
   void WatchClosed(const ExchangePtr& exchange, std::function<void()> hook);
-  void TakeBacklog(int listen_socket);
+  MHD_Daemon* StartDaemon(int fd, unsigned threads);
   size_t AbortWaiting();
 
   HttpListenerOptions m_options;
@@ -109,7 +205,7 @@
 
   mutable std::mutex m_mutex;
   std::condition_variable m_changed;
-  MHD_Daemon* m_daemon = nullptr;
+  std::vector<std::unique_ptr<DaemonThread>> m_daemons;
   std::set<ExchangePtr> m_exchanges;
   // Connections suspended in the library; it must not be stopped before 0.
   size_t m_suspended = 0;
@@ -119,29 +215,35 @@
   const int fd = OpenListenSocket(m_options.address);
   m_address = BoundAddress(fd);
   const unsigned threads = std::max(1U, m_options.threads);
+  for (unsigned i = 0; i < threads; ++i) {
+    // Each daemon owns a descriptor of the same socket.
+    const int own = i + 1 < threads ? dup(fd) : fd;
+    MHD_Daemon* daemon = StartDaemon(own, threads);
+    if (daemon == nullptr) {
+      close(own);
+      throw std::runtime_error("cannot start the HTTP listener on " +
+                               m_address);
+    }
+    auto running = std::make_unique<DaemonThread>(daemon);
+    std::lock_guard lock(m_mutex);
+    m_daemons.push_back(std::move(running));
+  }
+}
+
+MHD_Daemon* HttpListener::Impl::StartDaemon(int fd, unsigned threads) {
   const auto seconds = std::max<int64_t>(
       1,
       std::chrono::ceil<std::chrono::seconds>(m_options.idle_timeout).count());
-  const MHD_OptionItem pool[] = {
-      {threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END,
-       static_cast<intptr_t>(threads), nullptr},
-      {MHD_OPTION_END, 0, nullptr}};
-  // The library divides the connection limit over its threads, rounding down.
   const unsigned connections =
-      (m_options.max_connections + threads - 1) / threads * threads;
-  m_daemon = MHD_start_daemon(
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr,
-      nullptr, &Impl::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, fd,
+      (m_options.max_connections + threads - 1) / threads;
+  return MHD_start_daemon(
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
+      &Impl::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, fd,
       MHD_OPTION_CONNECTION_LIMIT, connections,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       2 * m_options.max_header_bytes + kConnectionOverheadBytes,
       MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(seconds),
-      MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted, this, MHD_OPTION_ARRAY,
-      pool, MHD_OPTION_END);
-  if (m_daemon == nullptr) {
-    close(fd);
-    throw std::runtime_error("cannot start the HTTP listener on " + m_address);
-  }
+      MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted, this, MHD_OPTION_END);
 }
 
 MHD_Result HttpListener::Impl::OnAccess(void* self,
@@ -269,6 +371,8 @@
   // The connection stays valid: suspended until this only call that resumes it.
   MHD_resume_connection(exchange->connection);
   std::lock_guard lock(m_mutex);
+  for (const auto& daemon : m_daemons)
+    daemon->Wake();
   --m_suspended;
   m_changed.notify_all();
 }
@@ -299,20 +403,6 @@
   impl->m_changed.notify_all();
 }
 
-// Connections that callers opened before the socket closes are served too.
-void HttpListener::Impl::TakeBacklog(int listen_socket) {
-  while (true) {
-    sockaddr_storage peer{};
-    socklen_t length = sizeof(peer);
-    auto* address = reinterpret_cast<sockaddr*>(&peer);
-    const int fd =
-        accept4(listen_socket, address, &length, SOCK_CLOEXEC | SOCK_NONBLOCK);
-    if (fd < 0)
-      return;
-    MHD_add_connection(m_daemon, fd, address, length);
-  }
-}
-
 size_t HttpListener::Impl::AbortWaiting() {
   std::set<ExchangePtr> exchanges;
   {
@@ -336,13 +426,11 @@
 
 size_t HttpListener::Impl::Stop(Duration limit) {
   const auto now = Clock::now();
-  if (m_daemon == nullptr)
+  if (m_daemons.empty())
     return 0;
   m_close_after_response = true;
-  if (const int fd = MHD_quiesce_daemon(m_daemon); fd >= 0) {
-    TakeBacklog(fd);
-    close(fd);
-  }
+  for (const auto& daemon : m_daemons)
+    daemon->Quiesce();
   const auto linger = now + std::min(limit, config::kStopLinger);
   {
     std::unique_lock lock(m_mutex);
@@ -361,8 +449,13 @@
       m_changed.wait_for(lock, config::kStopLinger,
                          [this] { return m_exchanges.empty(); });
   }
-  MHD_stop_daemon(m_daemon);
-  m_daemon = nullptr;
+  // Threads that end still call back, so they are joined outside the lock.
+  std::vector<std::unique_ptr<DaemonThread>> daemons;
+  {
+    std::lock_guard lock(m_mutex);
+    daemons.swap(m_daemons);
+  }
+  daemons.clear();
   m_close_watcher.Stop();
   return cut;
 }
--- a/tests/gateway/feed_test.cc
+++ b/tests/gateway/feed_test.cc
@@ -35,12 +35,34 @@
 
 // Guards against instances that follow one that is gone.
 TEST(FeedChoice, TurnsToTheNextAndThenToTheStore) {
-  FeedChoice choice = MakeChoice("a-3");
-  choice.OnFailure("10.0.0.1:1", kStart);
-  EXPECT_EQ(choice.Choose(kStart).address, "10.0.0.2:1");
-  choice.OnUninformed("10.0.0.2:1", kStart);
+  // Ten before this one: the parent is the second, its parent the first.
+  FeedChoice choice(InstanceId("i-99"), DataCentreId("a"));
+  for (int i = 10; i < 20; ++i)
+    choice.Set(InstanceId("i-" + std::to_string(i)),
+               {DataCentreId("a"), "10.0.0." + std::to_string(i) + ":1"});
+  EXPECT_EQ(choice.Choose(kStart).address, "10.0.0.11:1");
+  choice.OnFailure("10.0.0.11:1", kStart);
+  EXPECT_EQ(choice.Choose(kStart).address, "10.0.0.10:1");
+  choice.OnUninformed("10.0.0.10:1", kStart);
   EXPECT_TRUE(choice.Choose(kStart).is_store());
-  EXPECT_EQ(choice.Choose(kStart + seconds(4)).address, "10.0.0.1:1");
+  EXPECT_EQ(choice.Choose(kStart + seconds(4)).address, "10.0.0.11:1");
+}
+
+// Guards against one instance that sends every change to a whole data centre:
+// at 300 instances the busiest sent 1,230 KB/s.
+TEST(FeedChoice, NoInstanceHasMoreChildrenThanTheBound) {
+  std::map<std::string, uint32_t> children;
+  for (int self = 100; self < 600; ++self) {
+    FeedChoice choice(InstanceId("i-" + std::to_string(self)),
+                      DataCentreId("a"));
+    for (int i = 100; i < 600; ++i)
+      choice.Set(InstanceId("i-" + std::to_string(i)),
+                 {DataCentreId("a"), "f" + std::to_string(i)});
+    if (const FeedSource source = choice.Choose(kStart); !source.is_store())
+      ++children[source.address];
+  }
+  for (const auto& [address, count] : children)
+    EXPECT_LE(count, kFeedChildren) << address;
 }
 
 // Guards against an instance that the store turns away while it serves others:
--- a/tests/http_listener_test.cc
+++ b/tests/http_listener_test.cc
@@ -275,5 +275,23 @@
                std::runtime_error);
 }
 
+// Guards against a process that aborts while it stops: the library ends the
+// process if two threads take the listening socket out of its epoll set.
+TEST(HttpListener, StopsManyTimesUnderLoad) {
+  for (int round = 0; round < 200; ++round) {
+    HttpListener listener({.threads = 2}, [](HttpRequest, HttpResponder answer) {
+      answer({.status = 200, .body = "ok"});
+    });
+    std::atomic<bool> stop{false};
+    std::thread load([&listener, &stop] {
+      while (!stop)
+        Post("http://" + listener.address() + "/", "x");
+    });
+    listener.Stop(Duration(0));
+    stop = true;
+    load.join();
+  }
+}
+
 }  // namespace
 }  // namespace wasabihook
