Move requests off connections that hang and probe servers without them

Change: an attempt without a connection after 50 ms goes to another server; probes have connections of their own. The test fails without the change (504 after 500 ms).

--- a/src/gateway/backend_server.cc
+++ b/src/gateway/backend_server.cc
@@ -152,7 +152,28 @@
   Remove(*connection);
 }
 
+void BackendServer::GiveUpConnecting(Attempt* attempt) {
+  ServerConnection* connection = attempt->connection;
+  connection->Close();
+  --m_outstanding;
+  m_context->metrics->CountConnect(true);
+  m_health.OnUnreachable(m_context->loop->Now(), m_context->Uniform());
+  Remove(*connection);
+}
+
+void BackendServer::Probe(TimePoint now) {
+  if (retired() || !m_health.ProbeDue(now) || !HasConnection())
+    return;
+  m_health.StartProbe(now);
+  OpenConnection();
+}
+
 void BackendServer::Sweep(TimePoint now) {
+  CloseSlow(now);
+  Probe(now);
+}
+
+void BackendServer::CloseSlow(TimePoint now) {
   for (size_t i = m_slots.size(); i-- > 0;) {
     Slot& slot = m_slots[i];
     ServerConnection& connection = *slot.connection;
--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -95,6 +95,9 @@
   // Nobody waits for `attempt` any more. The reply is awaited for a while so
   // that the connection can be kept, unless `close_now`.
   void Abandon(Attempt* attempt, bool close_now);
+  // The connection of `attempt` takes too long, and no byte was handed over:
+  // drops it and takes the server for unreachable.
+  void GiveUpConnecting(Attempt* attempt);
   // Nobody waits for `attempt` any more, but the work must not be cut short.
   void Detach(Attempt* attempt) { attempt->listener = nullptr; }
   // Ends connections that take too long. Called periodically.
@@ -122,6 +125,10 @@
     std::unique_ptr<Attempt> attempt;
   };
 
+  void CloseSlow(TimePoint now);
+  // Finds out with a connection of its own whether a server that is down is
+  // back, so that no request has to.
+  void Probe(TimePoint now);
   Slot* FindIdle(bool once);
   Slot& OpenConnection();
   Slot* SlotOf(const ServerConnection& connection);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -313,6 +313,8 @@
   if (!m_deadline_passed) {
     m_starting = true;
     RecheckWaiting();
+    for (Part& part : m_parts)
+      ReplaceConnecting(part);
     for (Part& part : m_parts) {
       if (part.state == PartState::kAsked && !part.hedge_done &&
           m_route->config.idempotent && now - part.sent_at >= m_hedge_delay)
@@ -323,6 +325,24 @@
   Evaluate();
 }
 
+// Moves a part whose connection does not come about to another server.
+void Exchange::ReplaceConnecting(Part& part) {
+  const TimePoint now = m_context->loop->Now();
+  for (size_t i = part.live.size(); i-- > 0;) {
+    Attempt* attempt = part.live[i];
+    if (attempt->connection->connected() ||
+        now - attempt->sent_at < kConnectPatience)
+      continue;
+    part.live.erase(part.live.begin() + static_cast<ptrdiff_t>(i));
+    --part.arrivals;
+    if (attempt->repeat)
+      part.service->budget().Refund();
+    attempt->server->GiveUpConnecting(attempt);
+    if (part.live.empty())
+      RetryPart(part, AttemptOutcome::kNotSent);
+  }
+}
+
 TimePoint Exchange::NextWake() const {
   const TimePoint now = m_context->loop->Now();
   TimePoint wake = m_deadline;
@@ -331,6 +351,10 @@
   for (const Part& part : m_parts) {
     if (part.state == PartState::kWaiting)
       wake = std::min(wake, now + kPartRecheck);
+    for (const Attempt* attempt : part.live) {
+      if (!attempt->connection->connected())
+        wake = std::min(wake, attempt->sent_at + kConnectPatience);
+    }
     if (part.state != PartState::kAsked || part.hedge_done ||
         !m_route->config.idempotent)
       continue;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -70,6 +70,7 @@
   void StartPart(Part& part);
   void RetryPart(Part& part, AttemptOutcome outcome);
   void HedgePart(Part& part);
+  void ReplaceConnecting(Part& part);
   void SettlePart(Part& part, PartState state);
   void TakeReply(Part& part, MessageParser& reply);
   void RecheckWaiting();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -24,6 +24,9 @@
 // A handshake takes about 6 ms where servers are slow to accept; a connection
 // that is not there after a second was dropped or leads to a silent machine.
 inline constexpr Duration kServerConnectTimeout = seconds(1);
+// A sub-request whose connection is not there after this time goes to another
+// server: nothing was handed over yet. Several times a slow handshake of 6 ms.
+inline constexpr Duration kConnectPatience = milliseconds(50);
 // How long the reply of an abandoned sub-request is awaited so that the
 // connection can be kept. Work that nobody waits for must end within 500 ms.
 inline constexpr Duration kAbandonedReplyWait = milliseconds(300);
--- a/src/gateway/service.cc
+++ b/src/gateway/service.cc
@@ -12,6 +12,8 @@
 // Cost of a server outside this instance's subset, and spread of equal costs.
 constexpr double kOutsideSubsetCost = 5.0;
 constexpr double kTieSpread = 0.05;
+// Cost of a server that cannot be reached; above any other.
+constexpr double kDownCost = 1000.0;
 
 bool Contains(std::span<BackendServer* const> servers,
               const BackendServer* server) {
@@ -65,12 +67,9 @@
   return out;
 }
 
-bool Service::IsUsable(const BackendServer& server, TimePoint now) const {
-  if (!server.HasConnection())
-    return false;
-  if (server.health().down() && !server.health().ProbeDue(now))
-    return false;
-  return server.outstanding() < server.entry().slots + kServerQueueDepth;
+bool Service::HasRoom(const BackendServer& server) {
+  return server.HasConnection() &&
+         server.outstanding() < server.entry().slots + kServerQueueDepth;
 }
 
 bool Service::HasReadyServer() const {
@@ -100,20 +99,22 @@
   BackendServer* best = nullptr;
   double best_cost = 0;
   for (const auto& server : m_servers) {
-    if (Contains(excluded, server.get()) || !IsUsable(*server, now))
+    if (Contains(excluded, server.get()) || !HasRoom(*server))
       continue;
     // Without any other, a server that is leaving is used for a short time.
     if (server->retired() &&
         (has_ready || now - *server->retired_at() > kLastResortDrain))
       continue;
-    const double cost = CostOf(*server, now);
+    double cost = CostOf(*server, now);
+    // Unreachable servers are the last resort; probes find out when they are
+    // back.
+    if (server->health().down())
+      cost += kDownCost;
     if (best == nullptr || cost < best_cost) {
       best = server.get();
       best_cost = cost;
     }
   }
-  if (best != nullptr && best->health().down())
-    best->health().StartProbe(now);
   return best;
 }
 
--- a/src/gateway/service.h
+++ b/src/gateway/service.h
@@ -46,7 +46,7 @@
 
  private:
   std::vector<ServerId> Subset(const InstanceId& self, double share) const;
-  bool IsUsable(const BackendServer& server, TimePoint now) const;
+  static bool HasRoom(const BackendServer& server);
   bool HasReadyServer() const;
   double CostOf(const BackendServer& server, TimePoint now) const;
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -3,6 +3,8 @@
 #include "gateway/gateway.h"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <fstream>
 #include <memory>
@@ -12,6 +14,7 @@
 
 #include "platform/platform.h"
 #include "platform/testing/stand_in.h"
+#include "runtime/socket_address.h"
 
 namespace wasabihook::gateway {
 namespace {
@@ -301,6 +304,29 @@
   EXPECT_LE(std::stoi(deadline), 300);
 }
 
+// Guards against requests that wait for a connection to a machine that does not
+// answer: nothing was handed over, so another server can take them at once.
+TEST_F(GatewayTest, HangingConnectionIsReplacedAtOnce) {
+  // A full accept queue drops the handshake of further connections.
+  const int listener = OpenListenSocket("127.0.0.1:0");
+  ASSERT_EQ(listen(listener, 0), 0);
+  const std::string address = BoundAddress(listener);
+  std::vector<Socket> fill;
+  for (int i = 0; i < 4; ++i)
+    fill.push_back(ConnectTo(address, {}));
+  json entry = json::parse(Server("w1").Entry("writes"));
+  entry["address"] = address;
+  m_store.Put("servers/w1", entry.dump());
+  Start();
+  for (int i = 0; i < 4; ++i) {
+    const TimePoint start = m_loop.Now();
+    EXPECT_EQ(Ask("POST /write/a", "payload").status, 200);
+    EXPECT_LT(m_loop.Now() - start, milliseconds(300));
+  }
+  EXPECT_EQ(Server("w2").ran().size(), 4U);
+  close(listener);
+}
+
 // --- Callers ---
 
 // Guards against work for callers that have gone.
