--- a/tests/http_listener_test.cc
+++ b/tests/http_listener_test.cc
@@ -279,9 +279,10 @@
 // process if two threads take the listening socket out of its epoll set.
 TEST(HttpListener, StopsManyTimesUnderLoad) {
   for (int round = 0; round < 200; ++round) {
-    HttpListener listener({.threads = 2}, [](HttpRequest, HttpResponder answer) {
-      answer({.status = 200, .body = "ok"});
-    });
+    HttpListener listener({.threads = 2},
+                          [](HttpRequest, HttpResponder answer) {
+                            answer({.status = 200, .body = "ok"});
+                          });
     std::atomic<bool> stop{false};
     std::thread load([&listener, &stop] {
       while (!stop)
