--- a/src/gateway/feed_choice.cc
+++ b/src/gateway/feed_choice.cc
@@ -21,6 +21,26 @@
 
 void FeedChoice::Set(const InstanceId& id, InstanceRecord record) {
   m_instances[id] = std::move(record);
+  m_gone.erase(id);
+}
+
+void FeedChoice::Remove(const InstanceId& id, TimePoint now) {
+  if (Has(id))
+    m_gone.emplace(id, now);
+}
+
+void FeedChoice::RemoveAll(TimePoint now) {
+  for (const auto& [id, record] : m_instances)
+    m_gone.emplace(id, now);
+}
+
+void FeedChoice::Prune(TimePoint now) {
+  std::erase_if(m_gone, [this, now](const auto& entry) {
+    if (now - entry.second < kInstanceMemory)
+      return false;
+    m_instances.erase(entry.first);
+    return true;
+  });
 }
 
 bool FeedChoice::IsAvoided(const std::string& address, TimePoint now) const {
--- a/src/gateway/feed_choice.h
+++ b/src/gateway/feed_choice.h
@@ -45,9 +45,15 @@
   FeedChoice(InstanceId self, DataCentreId data_centre)
       : m_self(std::move(self)), m_data_centre(std::move(data_centre)) {}
 
-  void Clear() { m_instances.clear(); }
   void Set(const InstanceId& id, InstanceRecord record);
-  void Remove(const InstanceId& id) { m_instances.erase(id); }
+  // The entry is gone from the store. The instance may well live on, so it is
+  // remembered for a while: if all forgot each other at once, each would take
+  // the whole slack of the repeats for itself.
+  void Remove(const InstanceId& id, TimePoint now);
+  // A listing follows: what it does not name is gone.
+  void RemoveAll(TimePoint now);
+  // Forgets instances that have been gone for long.
+  void Prune(TimePoint now);
   bool Has(const InstanceId& id) const { return m_instances.contains(id); }
   // Instances other than this one.
   size_t others() const { return m_instances.size() - (Has(m_self) ? 1 : 0); }
@@ -83,6 +89,7 @@
   const InstanceId m_self;
   const DataCentreId m_data_centre;
   std::map<InstanceId, InstanceRecord> m_instances;
+  std::map<InstanceId, TimePoint> m_gone;
   std::map<std::string, Avoided> m_avoided;
   TimePoint m_store_avoided;
   std::string m_informed;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -185,7 +185,7 @@
 void Gateway::OnListing(const std::vector<StoreItem>& items,
                         Revision revision) {
   std::vector<ServerId> servers;
-  m_feed_choice.Clear();
+  m_feed_choice.RemoveAll(m_loop->Now());
   for (const StoreItem& item : items) {
     if (m_dialect.kind_of(item.key) == KeyKind::kServer)
       servers.push_back(m_dialect.server_of(item.key));
@@ -280,7 +280,9 @@
 void Gateway::ApplyInstance(const StoreItem& item) {
   const InstanceId id(item.key.substr(m_dialect.instance_prefix.size()));
   if (item.removed) {
-    m_feed_choice.Remove(id);
+    m_feed_choice.Remove(id, m_loop->Now());
+    if (id == m_settings.instance)
+      m_registration.OnRevoked();
     return;
   }
   try {
@@ -292,6 +294,7 @@
 }
 
 void Gateway::CountInstances() {
+  m_feed_choice.Prune(m_loop->Now());
   m_directory.SetInstances(static_cast<uint32_t>(m_feed_choice.others() + 1));
 }
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -144,6 +144,11 @@
 // grants, and the time after which it is renewed.
 inline constexpr Duration kInstanceLease = seconds(600);
 inline constexpr Duration kInstanceRenewal = seconds(200);
+// An instance whose entry is gone still counts for this time: a store that
+// revokes leases does not end the instances.
+inline constexpr Duration kInstanceMemory = seconds(120);
+// Time over which instances whose entries were revoked register again.
+inline constexpr Duration kRegisterSpread = seconds(2);
 // A restarted instance whose entry still stands renews it after this time.
 inline constexpr Duration kInstanceTakeOver = seconds(60);
 
--- a/src/gateway/instance_registration.cc
+++ b/src/gateway/instance_registration.cc
@@ -32,6 +32,14 @@
     Grant();
 }
 
+void InstanceRegistration::OnRevoked() {
+  m_context->log->Warning("registration_revoked", {{"lease", m_lease}});
+  Later(
+      Duration(static_cast<int64_t>(
+          static_cast<double>(kRegisterSpread.count()) * m_context->Uniform())),
+      &InstanceRegistration::Grant);
+}
+
 void InstanceRegistration::Later(Duration delay,
                                  void (InstanceRegistration::*step)()) {
   if (m_timer)
--- a/src/gateway/instance_registration.h
+++ b/src/gateway/instance_registration.h
@@ -26,6 +26,8 @@
   // Registers `value`. `stands`: an earlier process of this instance has
   // registered the same, and its lease still runs for a while.
   void Start(std::string value, bool stands);
+  // The key is gone from the store: registers again.
+  void OnRevoked();
 
  private:
   void Grant();
--- a/tests/gateway/feed_test.cc
+++ b/tests/gateway/feed_test.cc
@@ -78,6 +78,20 @@
   EXPECT_TRUE(choice.Choose(kStart + seconds(3)).is_store());
 }
 
+// Guards against instances that all forget each other when the store revokes
+// their leases, and then each take the whole slack (BUDGET on hunt-da87-15).
+TEST(FeedChoice, RevokedInstancesStillCount) {
+  FeedChoice choice = MakeChoice("a-1");
+  ASSERT_EQ(choice.others(), 4U);
+  choice.Remove(InstanceId("b-1"), kStart);
+  choice.RemoveAll(kStart + seconds(1));
+  choice.Prune(kStart + seconds(30));
+  EXPECT_EQ(choice.others(), 4U);
+  choice.Set(InstanceId("b-1"), {DataCentreId("b"), "10.0.1.1:1"});
+  choice.Prune(kStart + seconds(130));
+  EXPECT_EQ(choice.others(), 1U);
+}
+
 // Guards against a watch that the store keeps open in silence.
 TEST(DeafWatch, RevisionThatStaysUnknownShowsIt) {
   DeafWatch deaf(milliseconds(700));
