--- a/src/gateway/backend_server.cc
+++ b/src/gateway/backend_server.cc
@@ -52,6 +52,7 @@
                          entry.address != m_entry.address;
   m_entry = std::move(entry);
   m_warm_at = m_context->loop->Now() + m_entry.warm_up_left;
+  m_health.OnNewEntry();
   if (!restarted)
     return;
   m_health.Reset();
@@ -271,9 +272,11 @@
                        outcome == AttemptOutcome::kFailure, now);
       break;
     case AttemptOutcome::kRefused:
-    case AttemptOutcome::kWrongServer:
       m_health.OnRefusal(now);
       break;
+    case AttemptOutcome::kWrongServer:
+      LearnMisdirected(now);
+      break;
     case AttemptOutcome::kNotSent:
     case AttemptOutcome::kLost:
       // OnClosed() counts the failure of the connection.
@@ -281,6 +284,18 @@
   }
 }
 
+// Several requests may meet the other server at once; one line tells of them.
+void BackendServer::LearnMisdirected(TimePoint now) {
+  if (!m_health.misdirected(now))
+    m_context->log->Warning("server_misdirected",
+                            {{"server", m_entry.id.value()},
+                             {"service", m_entry.service.value()},
+                             {"address", m_entry.address},
+                             {"pause_ms", kMisdirectedPause.count() / 1000}});
+  m_health.OnRefusal(now);
+  m_health.OnMisdirected(now);
+}
+
 void BackendServer::OnExchangeEnd(ServerConnection& connection,
                                   WireOutcome outcome) {
   Slot* slot = SlotOf(connection);
--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -135,6 +135,7 @@
   void Remove(const ServerConnection& connection);
   AttemptOutcome Classify(WireOutcome outcome, MessageParser& reply) const;
   void Learn(const Attempt& attempt, AttemptOutcome outcome);
+  void LearnMisdirected(TimePoint now);
 
   GatewayContext* const m_context;
   ServerEntry m_entry;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -50,6 +50,10 @@
 // Time between probes of a server that refuses connections or has gone silent.
 inline constexpr Duration kProbeBackoff = milliseconds(250);
 inline constexpr Duration kMaxProbeBackoff = seconds(2);
+// Pause after another server answered at the address of this one. The registry
+// removes the stale entry three heartbeats of about a second after a crash; the
+// pause covers that, and ends so that a stray answer takes no server out.
+inline constexpr Duration kMisdirectedPause = seconds(5);
 // Time without any reply after which a busy connection counts as silent, as a
 // multiple of the stall threshold, and its floor.
 inline constexpr Duration kSilentFloor = milliseconds(600);
--- a/src/gateway/server_health.cc
+++ b/src/gateway/server_health.cc
@@ -39,6 +39,10 @@
   m_failure_share = Average(m_failure_share, 1);
 }
 
+void ServerHealth::OnMisdirected(TimePoint now) {
+  m_misdirected_until = now + kMisdirectedPause;
+}
+
 void ServerHealth::OnBrokenConnection() {
   m_failure_share = Average(m_failure_share, 1);
 }
--- a/src/gateway/server_health.h
+++ b/src/gateway/server_health.h
@@ -20,6 +20,10 @@
   void OnReply(Duration latency, Duration usual, bool failure, TimePoint now);
   // The server refused without running the request.
   void OnRefusal(TimePoint now);
+  // Another server answered at the address.
+  void OnMisdirected(TimePoint now);
+  // The registry has a newer entry, so that the server may be there again.
+  void OnNewEntry() { m_misdirected_until.reset(); }
   // A connection broke, or carried bytes that are no reply.
   void OnBrokenConnection();
   // A connection could not be opened, or the server went silent: it is down
@@ -36,6 +40,11 @@
   // True while the server refuses connections or is silent; one probe is due
   // after each backoff.
   bool down() const { return m_down; }
+  // True for a pause after another server answered at the address: a request
+  // sent there would count as a repeat at that server's service.
+  bool misdirected(TimePoint now) const {
+    return m_misdirected_until && now < *m_misdirected_until;
+  }
   bool ProbeDue(TimePoint now) const { return m_down && now >= m_probe_at; }
   void StartProbe(TimePoint now) { m_probe_at = now + m_backoff; }
   TimePoint last_reply() const { return m_last_reply; }
@@ -54,6 +63,7 @@
   Duration m_backoff = kProbeBackoff;
   TimePoint m_probe_at;
   TimePoint m_last_reply;
+  std::optional<TimePoint> m_misdirected_until;
 };
 
 }  // namespace wasabihook::gateway
--- a/src/gateway/service.cc
+++ b/src/gateway/service.cc
@@ -99,7 +99,8 @@
   BackendServer* best = nullptr;
   double best_cost = 0;
   for (const auto& server : m_servers) {
-    if (Contains(excluded, server.get()) || !HasRoom(*server))
+    if (Contains(excluded, server.get()) || !HasRoom(*server) ||
+        server->health().misdirected(now))
       continue;
     // Without any other, a server that is leaving is used for a short time.
     if (server->retired() &&
@@ -119,9 +120,11 @@
 }
 
 bool Service::MayRecover(std::span<BackendServer* const> excluded) const {
+  const TimePoint now = m_context->loop->Now();
   return std::any_of(m_servers.begin(), m_servers.end(),
-                     [excluded](const auto& server) {
+                     [excluded, now](const auto& server) {
                        return !server->retired() && !server->health().down() &&
+                              !server->health().misdirected(now) &&
                               !Contains(excluded, server.get());
                      });
 }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -302,6 +302,28 @@
     EXPECT_EQ(Ask("POST /write/a", "payload").status, 200);
 }
 
+// Guards against a stream of requests to an address that another server has
+// taken over while the store still lists the old one: each counts as a repeat
+// at the service that has the address now. The shard's other server is silent,
+// so that nothing better is at hand.
+TEST_F(GatewayTest, AddressOfAnotherServerIsNotAskedAgain) {
+  Server("s0x").SetFault(ServerFault::kWrongServer);
+  Server("s0y").SetFault(ServerFault::kSilent);
+  Start();
+  for (int i = 0; i < 8; ++i)
+    EXPECT_EQ(Ask("GET /search/q").status, 200);
+  EXPECT_EQ(Server("s0x").arrivals(), 1U);
+  // A newer entry shows that the server is there again.
+  Server("s0x").SetFault(ServerFault::kNone);
+  json entry = json::parse(Server("s0x").Entry(Service(0)));
+  entry["born"] = entry["born"].get<int64_t>() + 1;
+  m_store.Put("servers/s0x", entry.dump());
+  bool complete = false;
+  for (int i = 0; i < 20 && !complete; ++i)
+    complete = Ask("GET /search/q").headers["x-missing-parts"] == "0";
+  EXPECT_TRUE(complete);
+}
+
 // Guards against servers that are told a longer time than the caller waits.
 TEST_F(GatewayTest, PassesOnTheTimeThatIsLeft) {
   Start();
--- a/tests/gateway/policy_test.cc
+++ b/tests/gateway/policy_test.cc
@@ -245,6 +245,20 @@
   EXPECT_FALSE(health.down());
 }
 
+// Guards against requests to an address that another server has taken over, and
+// against a server that one stray answer takes out for good.
+TEST(ServerHealth, MisdirectedServerIsAskedAgainAfterAPause) {
+  ServerHealth health;
+  EXPECT_FALSE(health.misdirected(At(seconds(1))));
+  health.OnMisdirected(At(seconds(1)));
+  EXPECT_TRUE(health.misdirected(At(seconds(1))));
+  EXPECT_TRUE(health.misdirected(At(seconds(1) + kMisdirectedPause / 2)));
+  EXPECT_FALSE(health.misdirected(At(seconds(1) + kMisdirectedPause)));
+  health.OnMisdirected(At(seconds(20)));
+  health.OnNewEntry();
+  EXPECT_FALSE(health.misdirected(At(seconds(20))));
+}
+
 // Guards against two servers of a shard that are both out after one broken
 // reply each.
 TEST(ServerHealth, BrokenReplyDoesNotTakeAServerOut) {
