Run the soak over data centres with kept connections; test budget, splits and hedges

Change: formats of the soak move to platform/testing/documents; data centres that are lost, bursts, kept connections whose end without an answer is reported. Tests for a replacement after a lost reply (fails without the check of earlier arrivals: 8 arrivals, 7 allowed), hedges of callers that have gone (fails if abandoned work is kept) and shares of a split. The name check covers the soak now.

--- a/programs/wasabihook-soak/gateway_process.cc
+++ b/programs/wasabihook-soak/gateway_process.cc
@@ -31,6 +31,7 @@
 GatewayProcess::GatewayProcess(std::string program,
                                std::string folder,
                                std::string id,
+                               std::string data_centre,
                                std::string store_address)
     : m_program(std::move(program)),
       m_path(folder + "/" + id + ".toml"),
@@ -38,7 +39,8 @@
       m_id(std::move(id)),
       m_caller_address(NextAddress()) {
   std::ofstream file(m_path);
-  file << "[instance]\nid = \"" << m_id << "\"\ndata_centre = \"a\"\n"
+  file << "[instance]\nid = \"" << m_id << "\"\ndata_centre = \"" << data_centre
+       << "\"\n"
        << "[listen]\ncaller = \"" << m_caller_address << "\"\nreadiness = \""
        << NextAddress() << "\"\nfeed = \"" << NextAddress() << "\"\n"
        << "[store]\naddress = \"" << store_address << "\"\n"
--- a/programs/wasabihook-soak/gateway_process.h
+++ b/programs/wasabihook-soak/gateway_process.h
@@ -15,6 +15,7 @@
   GatewayProcess(std::string program,
                  std::string folder,
                  std::string id,
+                 std::string data_centre,
                  std::string store_address);
   ~GatewayProcess();
   GatewayProcess(const GatewayProcess&) = delete;
--- a/programs/wasabihook-soak/soak.cc
+++ b/programs/wasabihook-soak/soak.cc
@@ -3,28 +3,37 @@
 #include <signal.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <set>
-#include <sstream>
 #include <utility>
 
 #include "gateway/top_records.h"
+#include "platform/testing/documents.h"
 
 namespace wasabihook::soak {
 namespace {
 
 using gateway::testing::CallerStandIn;
+using gateway::testing::Coverage;
+using gateway::testing::RequestHead;
+using gateway::testing::RouteDocument;
 using gateway::testing::RunUntil;
 using gateway::testing::ServerFault;
 using gateway::testing::ServerStandIn;
-using nlohmann::json;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr size_t kShards = 6;
 constexpr size_t kNeededShards = 5;
 constexpr size_t kTopRecords = 4;
-constexpr int kDeadlineMs = 900;
+constexpr Duration kDeadline = milliseconds(900);
+constexpr uint32_t kMaxConnections = 40;
+constexpr const char* kDataCentres[] = {"a", "b", "c"};
+constexpr size_t kDataCentreCount = std::size(kDataCentres);
+// Requests sent at once during a burst, and its length.
+constexpr size_t kBurst = 6;
+constexpr Duration kBurstLength = seconds(1);
+// Share of the requests that open a connection of their own: one in this many.
+constexpr size_t kFreshConnectionOneIn = 4;
 // Time after its deadline at which a request without any answer counts as
 // forgotten, at a process that was not disturbed meanwhile.
 constexpr Duration kAnswerSlack = milliseconds(700);
@@ -45,15 +54,19 @@
 Soak::Soak(SoakOptions options)
     : m_options(std::move(options)),
       m_random(m_options.seed),
-      m_store(&m_loop),
-      m_store_link(std::make_unique<FaultProxy>(&m_loop, m_store.address())) {
+      m_store(&m_loop) {
+  for (size_t i = 0; i < kDataCentreCount; ++i)
+    m_store_links.push_back(
+        std::make_unique<FaultProxy>(&m_loop, m_store.address()));
   AddServers();
   PutConfig();
   for (uint32_t i = 0; i < m_options.gateways; ++i) {
     Instance instance;
+    instance.data_centre = i % kDataCentreCount;
     instance.process = std::make_unique<GatewayProcess>(
         m_options.program, m_options.folder, "gateway-" + std::to_string(i),
-        m_store_link->address());
+        kDataCentres[instance.data_centre],
+        m_store_links[instance.data_centre]->address());
     instance.process->Start();
     instance.disturbed_at = m_loop.Now();
     m_gateways.push_back(std::move(instance));
@@ -69,16 +82,17 @@
   return static_cast<size_t>(m_random() % count);
 }
 
-// Each server is reached through a proxy of its own.
+// Each server is reached through a proxy of its own. The copies of a shard
+// stand in different data centres.
 void Soak::AddServers() {
   const auto add = [this](const std::string& id, const std::string& service,
                           const std::string& body) {
+    const size_t data_centre = m_servers.size() % kDataCentreCount;
     m_servers.push_back(std::make_unique<ServerStandIn>(&m_loop, id, body));
     m_links.push_back(
         std::make_unique<FaultProxy>(&m_loop, m_servers.back()->address()));
-    json entry = json::parse(m_servers.back()->Entry(service));
-    entry["address"] = m_links.back()->address();
-    m_store.Put("servers/" + id, entry.dump());
+    RegisterServer(m_store, *m_servers.back(), service,
+                   m_links.back()->address(), kDataCentres[data_centre]);
   };
   for (size_t shard = 0; shard < kShards; ++shard) {
     for (const char* copy : {"x", "y"})
@@ -92,32 +106,31 @@
 // Each version serves searches below a prefix of its own.
 void Soak::PutConfig() {
   ++m_version;
-  json gather = json::array();
-  json services = json::array();
+  RouteDocument search;
+  search.name = "search";
+  search.path_prefix = "/search/";
+  search.timeout = milliseconds(800);
+  search.objective = milliseconds(120);
+  search.top_records = kTopRecords;
+  search.least_share = 0.8;
+  std::map<std::string, uint32_t> max_connections = {
+      {"writes", kMaxConnections}};
   for (size_t shard = 0; shard < kShards; ++shard) {
-    gather.push_back("shard" + std::to_string(shard));
-    services.push_back({{"name", gather.back()}, {"max_conns", 40}});
+    search.shards.push_back("shard" + std::to_string(shard));
+    max_connections[search.shards.back()] = kMaxConnections;
   }
-  services.push_back({{"name", "writes"}, {"max_conns", 40}});
-  const auto search = [&gather](const std::string& name,
-                                const std::string& prefix) {
-    return json{{"name", name},          {"host", "h.example"},
-                {"path_prefix", prefix}, {"type", "idempotent"},
-                {"timeout_ms", 800},     {"slo_ms", 120},
-                {"max_attempts", 2},     {"gather", gather},
-                {"top_k", kTopRecords},  {"min_version", 0.8}};
-  };
-  const json write = {{"name", "write"},          {"host", "h.example"},
-                      {"path_prefix", "/write/"}, {"type", "non_idempotent"},
-                      {"timeout_ms", 700},        {"slo_ms", 200},
-                      {"max_attempts", 2},        {"backend", "writes"}};
-  const std::string versioned = "/v" + std::to_string(m_version) + "/";
-  const json routes = json::array(
-      {search("search", "/search/"), search("versioned", versioned), write});
-  m_store.Put(
-      "op/config",
-      json{{"version", m_version}, {"routes", routes}, {"backends", services}}
-          .dump());
+  RouteDocument versioned = search;
+  versioned.name = "versioned";
+  versioned.path_prefix = "/v" + std::to_string(m_version) + "/";
+  RouteDocument write;
+  write.name = "write";
+  write.path_prefix = "/write/";
+  write.idempotent = false;
+  write.timeout = milliseconds(700);
+  write.objective = milliseconds(200);
+  write.service = "writes";
+  PutConfiguration(m_store, m_version, {search, versioned, write},
+                   max_connections);
 }
 
 void Soak::Break(const std::string& what) {
@@ -126,6 +139,22 @@
 
 // --- Requests ---
 
+void Soak::SendRequests() {
+  const size_t count = m_loop.Now() < m_burst_until ? kBurst : 1;
+  for (size_t i = 0; i < count; ++i)
+    SendRequest();
+}
+
+// Callers keep their connections until the process is gone.
+Soak::CallerPtr Soak::TakeCaller(Instance& instance) {
+  if (instance.idle.empty() || Draw(kFreshConnectionOneIn) == 0)
+    return std::make_unique<CallerStandIn>(&m_loop,
+                                           instance.process->caller_address());
+  CallerPtr out = std::move(instance.idle.back());
+  instance.idle.pop_back();
+  return out;
+}
+
 void Soak::SendRequest() {
   if (m_pending.size() >= kMaxPending)
     return;
@@ -134,17 +163,12 @@
   pending.kind = Draw(3) == 0 ? Kind::kWrite : Kind::kSearch;
   pending.id = "q" + std::to_string(m_next_id++);
   pending.sent_at = m_loop.Now();
-  pending.caller = std::make_unique<CallerStandIn>(
-      &m_loop, m_gateways[pending.gateway].process->caller_address());
+  pending.caller = TakeCaller(m_gateways[pending.gateway]);
   const bool write = pending.kind == Kind::kWrite;
   const std::string body = write ? "body of " + pending.id : "";
-  std::string head =
-      (write ? std::string("POST /write/a") : std::string("GET /search/q")) +
-      " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + pending.id +
-      "\r\nX-Deadline-Ms: " + std::to_string(kDeadlineMs);
-  if (write)
-    head += "\r\nContent-Length: " + std::to_string(body.size());
-  pending.caller->Send(head, body);
+  pending.caller->Send(RequestHead(write ? "POST /write/a" : "GET /search/q",
+                                   pending.id, kDeadline, body.size()),
+                       body);
   ++m_result.requests;
   m_pending.push_back(std::move(pending));
 }
@@ -153,12 +177,16 @@
   const TimePoint now = m_loop.Now();
   for (size_t i = m_pending.size(); i-- > 0;) {
     Pending& pending = m_pending[i];
-    const Duration limit = milliseconds(kDeadlineMs) + kAnswerSlack;
+    const Duration limit = kDeadline + kAnswerSlack;
     const bool late = now - pending.sent_at > limit;
     if (!pending.caller->done() && !late)
       continue;
     Check(pending);
-    pending.caller->Close();
+    if (pending.caller->done() &&
+        pending.caller->reply().outcome == gateway::WireOutcome::kReply)
+      m_gateways[pending.gateway].idle.push_back(std::move(pending.caller));
+    else
+      pending.caller->Close();
     m_pending.erase(m_pending.begin() + static_cast<ptrdiff_t>(i));
   }
 }
@@ -167,12 +195,19 @@
   if (!pending.caller->done()) {
     if (m_gateways[pending.gateway].disturbed_at < pending.sent_at)
       Break(pending.id + ": no answer " +
-            std::to_string(kDeadlineMs + kAnswerSlack.count() / 1000) +
+            std::to_string((kDeadline + kAnswerSlack).count() / 1000) +
             " ms after it was sent");
     return;
   }
-  if (pending.caller->reply().outcome != gateway::WireOutcome::kReply)
+  if (pending.caller->reply().outcome != gateway::WireOutcome::kReply) {
+    // A connection that did not come about carried no request.
+    if (pending.caller->reply().outcome != gateway::WireOutcome::kNotSent &&
+        m_gateways[pending.gateway].disturbed_at < pending.sent_at)
+      Break(pending.id + ": the connection to " +
+            m_gateways[pending.gateway].process->id() +
+            " ended without an answer");
     return;
+  }
   ++m_result.answered;
   if (pending.kind == Kind::kSearch)
     CheckSearch(pending);
@@ -186,25 +221,23 @@
   const gateway::testing::CallerReply& reply = pending.caller->reply();
   if (reply.status != 200)
     return;
-  if (!reply.headers.contains("x-part-stamps") ||
-      !reply.headers.contains("x-missing-parts")) {
+  const std::optional<Coverage> coverage = ReadCoverage(reply);
+  if (!coverage) {
     Break(pending.id + ": a merged answer without its proofs");
     return;
   }
-  std::istringstream list(reply.headers.at("x-part-stamps"));
   std::set<std::string> shards;
   std::vector<std::string> parts;
-  std::string proof;
-  while (std::getline(list >> std::ws, proof, ',')) {
-    const size_t dot = proof.find('.');
-    const std::string shard = proof.substr(1, dot - 2);
-    if (proof.substr(dot + 1) != pending.id)
-      Break(pending.id + ": a part belongs to another request: " + proof);
+  for (const auto& [server, request_id] : coverage->parts) {
+    // Servers are named after their shard and copy.
+    const std::string shard = server.substr(1, server.size() - 2);
+    if (request_id != pending.id)
+      Break(pending.id + ": a part belongs to another request: " + request_id);
     if (!shards.insert(shard).second)
       Break(pending.id + ": shard " + shard + " stands twice");
     parts.push_back(Record(std::stoul(shard)));
   }
-  const size_t missing = std::stoul(reply.headers.at("x-missing-parts"));
+  const size_t missing = coverage->missing;
   if (shards.size() + missing != kShards || shards.size() < kNeededShards)
     Break(pending.id + ": " + std::to_string(shards.size()) + " parts and " +
           std::to_string(missing) + " missing");
@@ -243,13 +276,20 @@
   if (!m_faults_on)
     return;
   ++m_result.faults;
-  switch (Draw(5)) {
+  switch (Draw(8)) {
     case 0:
+    case 1:
       FaultProcess();
       break;
-    case 1:
+    case 2:
       FaultStore();
       break;
+    case 3:
+      FaultDataCentre();
+      break;
+    case 4:
+      m_burst_until = m_loop.Now() + kBurstLength;
+      break;
     default:
       FaultLink();
   }
@@ -276,6 +316,14 @@
   }
 }
 
+void Soak::StopProcess(Instance& instance) {
+  if (!instance.process->running() || instance.stopped)
+    return;
+  instance.process->Signal(SIGSTOP);
+  instance.stopped = true;
+  instance.disturbed_at = m_loop.Now();
+}
+
 void Soak::FaultProcess() {
   Instance& instance = m_gateways[Draw(m_gateways.size())];
   if (!instance.process->running())
@@ -291,8 +339,7 @@
       instance.process->Signal(SIGKILL);
       break;
     case 1:
-      instance.process->Signal(SIGSTOP);
-      instance.stopped = true;
+      StopProcess(instance);
       break;
     case 2:
       instance.process->Signal(SIGHUP);
@@ -303,7 +350,23 @@
   }
 }
 
+// A data centre loses its power, or comes back.
+void Soak::FaultDataCentre() {
+  const size_t lost = Draw(kDataCentreCount);
+  const LinkFault fault = Draw(2) == 0 ? LinkFault::kSilent : LinkFault::kNone;
+  for (size_t i = 0; i < m_links.size(); ++i) {
+    if (i % kDataCentreCount == lost)
+      m_links[i]->SetFault(fault);
+  }
+  for (Instance& instance : m_gateways) {
+    if (instance.data_centre == lost && fault == LinkFault::kSilent)
+      StopProcess(instance);
+  }
+}
+
 void Soak::FaultStore() {
+  // The way of one data centre to the store, or the store itself.
+  FaultProxy& link = *m_store_links[Draw(kDataCentreCount)];
   switch (Draw(6)) {
     case 0:
       m_store.SetRefusing(true);
@@ -315,12 +378,11 @@
       m_store.Compact();
       break;
     case 3:
-      m_store_link->SetFault(m_store_link->fault() == LinkFault::kNone
-                                 ? LinkFault::kSilent
-                                 : LinkFault::kNone);
+      link.SetFault(link.fault() == LinkFault::kNone ? LinkFault::kSilent
+                                                     : LinkFault::kNone);
       break;
     case 4:
-      m_store_link->ResetAll();
+      link.ResetAll();
       break;
     default:
       PutConfig();
@@ -350,7 +412,8 @@
 void Soak::Heal() {
   m_faults_on = false;
   m_store.SetRefusing(false);
-  m_store_link->SetFault(LinkFault::kNone);
+  for (const auto& link : m_store_links)
+    link->SetFault(LinkFault::kNone);
   for (const auto& link : m_links)
     link->SetFault(LinkFault::kNone);
   for (const auto& server : m_servers)
@@ -367,9 +430,8 @@
 void Soak::CheckRecovery() {
   for (const Instance& instance : m_gateways) {
     CallerStandIn caller(&m_loop, instance.process->caller_address());
-    caller.Send("GET /v" + std::to_string(m_version) +
-                "/q HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r" +
-                std::to_string(m_next_id++) + "\r\nX-Deadline-Ms: 900");
+    caller.Send(RequestHead("GET /v" + std::to_string(m_version) + "/q",
+                            "r" + std::to_string(m_next_id++), kDeadline));
     RunUntil(
         m_loop, [&caller] { return caller.done(); }, seconds(2));
     if (!caller.done() || caller.reply().status != 200)
@@ -381,7 +443,7 @@
 
 SoakResult Soak::Run() {
   std::vector<TimerHandle> timers = {
-      m_loop.SubscribeEvery(kRequestPeriod, [this] { SendRequest(); }),
+      m_loop.SubscribeEvery(kRequestPeriod, [this] { SendRequests(); }),
       m_loop.SubscribeEvery(kFaultPeriod, [this] { InjectFault(); }),
       m_loop.SubscribeEvery(kCheckPeriod, [this] {
         CollectAnswers();
--- a/programs/wasabihook-soak/soak.h
+++ b/programs/wasabihook-soak/soak.h
@@ -54,9 +54,13 @@
     size_t gateway = 0;
     TimePoint sent_at;
   };
+  using CallerPtr = std::unique_ptr<gateway::testing::CallerStandIn>;
   // State of one process as the soak drives it.
   struct Instance {
     std::unique_ptr<GatewayProcess> process;
+    size_t data_centre = 0;
+    // Callers with an open connection that wait for their next request.
+    std::vector<CallerPtr> idle;
     // When the process was last started, signalled or continued.
     TimePoint disturbed_at;
     bool stopped = false;
@@ -65,7 +69,9 @@
 
   void AddServers();
   void PutConfig();
+  void SendRequests();
   void SendRequest();
+  CallerPtr TakeCaller(Instance& instance);
   void CollectAnswers();
   void Check(const Pending& pending);
   void CheckSearch(const Pending& pending);
@@ -75,6 +81,8 @@
   void FaultLink();
   void FaultProcess();
   void FaultStore();
+  void FaultDataCentre();
+  void StopProcess(Instance& instance);
   void ReapProcesses();
   void Heal();
   void CheckRecovery();
@@ -87,13 +95,15 @@
   gateway::testing::StoreStandIn m_store;
   std::vector<std::unique_ptr<gateway::testing::ServerStandIn>> m_servers;
   std::vector<std::unique_ptr<FaultProxy>> m_links;
-  std::unique_ptr<FaultProxy> m_store_link;
+  // Of each data centre to the store.
+  std::vector<std::unique_ptr<FaultProxy>> m_store_links;
   std::vector<Instance> m_gateways;
   std::vector<Pending> m_pending;
   // Status of each answered write, by request id.
   std::map<std::string, int> m_writes;
   uint64_t m_next_id = 1;
   int m_version = 0;
+  TimePoint m_burst_until;
   bool m_faults_on = true;
   SoakResult m_result;
 };
--- a/scripts/check-platform-names.sh
+++ b/scripts/check-platform-names.sh
@@ -2,8 +2,8 @@
 # Fails if a name of the users' platform stands in a source outside platform/
 # and the tests.
 set -euo pipefail
-names='X-Target-Instance|X-Part-Stamps|X-Missing-Parts|X-Not-Executed|X-Server-Stamp|kv-txn|kv-range|kv-watch|kv-keep|kv-lease|WASABIHOOK_NODE_FILE'
-if git grep -nE "$names" -- '*.cc' '*.h' ':!platform' ':!tests' ':!programs/wasabihook-soak'; then
+names='X-Target-Instance|op/config|X-Part-Stamps|X-Missing-Parts|X-Not-Executed|X-Server-Stamp|kv-txn|kv-range|kv-watch|kv-keep|kv-lease|WASABIHOOK_NODE_FILE'
+if git grep -nE "$names" -- '*.cc' '*.h' ':!platform' ':!tests'; then
   echo "names of the platform outside platform/" >&2
   exit 1
 fi
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -158,6 +158,22 @@
       Server("s" + std::to_string(shard) + copy).SetFault(fault);
   }
 
+  // A configuration with one route, which `fields` complete.
+  void PutSingleRoute(json fields, const std::vector<std::string>& services) {
+    json route = {{"name", "single"},          {"host", "h.example"},
+                  {"path_prefix", "/single/"}, {"type", "idempotent"},
+                  {"timeout_ms", 500},         {"slo_ms", 200}};
+    route.update(fields);
+    json list = json::array();
+    for (const std::string& service : services)
+      list.push_back({{"name", service}, {"max_conns", 25}});
+    m_store.Put("op/config", json{{"version", 9},
+                                  {"routes", json::array({route})},
+                                  {"backends", list},
+                                  {"limits", json::object()}}
+                                 .dump());
+  }
+
   uint32_t ShardArrivals() {
     uint32_t out = 0;
     for (const auto& [id, server] : m_servers)
@@ -357,6 +373,58 @@
   EXPECT_TRUE(IsServedSoon("GET /search/q"));
 }
 
+// Guards against a repeat that is not counted: an attempt that reached no
+// server is replaced for free only if none before it reached one. The budget
+// allows a single repeat here.
+TEST_F(GatewayTest, ReplacementAfterALostReplyCountsAsARepeat) {
+  for (const char* id : {"n1", "n2", "n3"}) {
+    AddServer(id, "lossy", "done");
+    Server(id).SetFault(ServerFault::kNoProof);
+  }
+  // Order of choice: n1, the server without a listener, then the remote ones.
+  const auto put = [this](const std::string& id, const json& changes) {
+    json entry = json::parse(Server("n1").Entry("lossy"));
+    entry["address"] = Server(id == "dead" ? "n1" : id).address();
+    entry.update(changes);
+    m_store.Put("servers/" + id, entry.dump());
+  };
+  const int closed = OpenListenSocket("127.0.0.1:0");
+  const std::string nobody = BoundAddress(closed);
+  close(closed);
+  put("dead", {{"address", nobody}, {"warmup_left_ms", 60000}});
+  put("n2", {{"zone", "b"}});
+  put("n3", {{"zone", "b"}});
+  PutSingleRoute({{"backend", "lossy"}, {"max_attempts", 2}}, {"lossy"});
+  m_settings.bounds.retry_ratio = 0;
+  m_settings.bounds.retry_slack = 1.5;
+  Start();
+  constexpr uint32_t kRequests = 6;
+  for (uint32_t i = 0; i < kRequests; ++i)
+    EXPECT_EQ(Ask("GET /single/q").status, 502);
+  uint32_t arrivals = 0;
+  for (const char* id : {"n1", "n2", "n3"})
+    arrivals += Server(id).arrivals();
+  EXPECT_LE(arrivals, kRequests + 1);
+  EXPECT_GE(arrivals, kRequests);
+}
+
+// Guards against parts of a split that get another share than their weight.
+TEST_F(GatewayTest, SplitSendsEachPartItsShare) {
+  AddServer("p1", "part1", "done");
+  AddServer("p2", "part2", "done");
+  PutSingleRoute({{"split",
+                   {{{"backend", "part1"}, {"weight", 3}},
+                    {{"backend", "part2"}, {"weight", 1}}}},
+                  {"max_attempts", 1}},
+                 {"part1", "part2"});
+  Start();
+  constexpr uint32_t kRequests = 80;
+  for (uint32_t i = 0; i < kRequests; ++i)
+    EXPECT_EQ(Ask("GET /single/q").status, 200);
+  EXPECT_EQ(Server("p1").arrivals(), kRequests * 3 / 4);
+  EXPECT_EQ(Server("p2").arrivals(), kRequests / 4);
+}
+
 // Guards against servers that are told a longer time than the caller waits.
 TEST_F(GatewayTest, PassesOnTheTimeThatIsLeft) {
   Start();
@@ -393,6 +461,24 @@
 
 // --- Callers ---
 
+// Guards against hedges that go on, or are sent, for callers that have gone.
+TEST_F(GatewayTest, CallersCloseEndsHedgesToo) {
+  SetShardFault(0, ServerFault::kSilent);
+  Start();
+  CallerStandIn caller(&m_loop, m_gateway->caller_address());
+  caller.Send(Head("GET /search/q"));
+  ASSERT_TRUE(RunUntil(m_loop, [this] {
+    return Server("s0x").arrivals() + Server("s0y").arrivals() == 2;
+  }));
+  caller.Close();
+  EXPECT_TRUE(RunUntil(
+      m_loop,
+      [this] {
+        return Server("s0x").closed_early() + Server("s0y").closed_early() == 2;
+      },
+      milliseconds(500)));
+}
+
 // Guards against work for callers that have gone.
 TEST_F(GatewayTest, CallersCloseEndsTheWork) {
   for (size_t shard = 0; shard < kShards; ++shard)
