Count a killed process as disturbed until its end is noticed

By the logs eight processes had been killed at that moment (they start again 16 to 76 ms later without a stop) and one drained: requests sent after the signal were looked at before the next reaping.

--- a/programs/wasabihook-soak/soak.cc
+++ b/programs/wasabihook-soak/soak.cc
@@ -193,7 +193,7 @@
 
 void Soak::Check(const Pending& pending) {
   if (!pending.caller->done()) {
-    if (m_gateways[pending.gateway].disturbed_at < pending.sent_at)
+    if (m_gateways[pending.gateway].CalmSince(pending.sent_at))
       Break(pending.id + ": no answer " +
             std::to_string((kDeadline + kAnswerSlack).count() / 1000) +
             " ms after it was sent");
@@ -202,7 +202,7 @@
   if (pending.caller->reply().outcome != gateway::WireOutcome::kReply) {
     // A connection that did not come about carried no request.
     if (pending.caller->reply().outcome != gateway::WireOutcome::kNotSent &&
-        m_gateways[pending.gateway].disturbed_at < pending.sent_at)
+        m_gateways[pending.gateway].CalmSince(pending.sent_at))
       Break(pending.id + ": the connection to " +
             m_gateways[pending.gateway].process->id() +
             " ended without an answer");
@@ -337,6 +337,7 @@
   switch (Draw(4)) {
     case 0:
       instance.process->Signal(SIGKILL);
+      instance.killed = true;
       break;
     case 1:
       StopProcess(instance);
@@ -404,6 +405,7 @@
             std::to_string(*status));
     instance.terminating = false;
     instance.stopped = false;
+    instance.killed = false;
     instance.disturbed_at = m_loop.Now();
     instance.process->Start();
   }
--- a/programs/wasabihook-soak/soak.h
+++ b/programs/wasabihook-soak/soak.h
@@ -65,6 +65,13 @@
     TimePoint disturbed_at;
     bool stopped = false;
     bool terminating = false;
+    // SIGKILL was sent, and the end of the process is not noticed yet.
+    bool killed = false;
+
+    // Since before `time` the process has run without a disturbance.
+    bool CalmSince(TimePoint time) const {
+      return !killed && !stopped && !terminating && disturbed_at < time;
+    }
   };
 
   void AddServers();
