--- a/src/gateway/admission_rate.cc
+++ b/src/gateway/admission_rate.cc
@@ -36,17 +36,17 @@
 
 void AdmissionRate::StartRound() {
   m_admitted = 0;
-  m_turned_away = 0;
+  m_rejected = 0;
 }
 
 void AdmissionRate::Adapt() {
-  const bool overloaded = m_turned_away >= kMinTurnedAway &&
-                          m_turned_away > kTurnedAwayShare * m_admitted;
+  const bool overloaded =
+      m_rejected >= kMinRejected && m_rejected > kRejectedShare * m_admitted;
   if (overloaded) {
-    const double turned_away_share =
-        static_cast<double>(m_turned_away) / std::max(m_admitted, 1U);
+    const double rejected_share =
+        static_cast<double>(m_rejected) / std::max(m_admitted, 1U);
     const double before = m_limit.value_or(WantedPerSecond());
-    m_limit = before * std::max(1 - turned_away_share, kMaxAdmissionCut);
+    m_limit = before * std::max(1 - rejected_share, kMaxAdmissionCut);
     StartRound();
     return;
   }
@@ -89,9 +89,9 @@
   return true;
 }
 
-void AdmissionRate::OnTurnedAway(TimePoint now) {
+void AdmissionRate::OnRejected(TimePoint now) {
   Advance(now);
-  ++m_turned_away;
+  ++m_rejected;
 }
 
 }  // namespace wasabihook::gateway
--- a/src/gateway/admission_rate.h
+++ b/src/gateway/admission_rate.h
@@ -14,9 +14,9 @@
 
 // Rate at which one service takes requests of this instance, learnt from those
 // that no server of it could take. Answers the pattern of a scatter under
-// overload: if each shard turns away some requests of its own choice, hardly
+// overload: if each shard rejects some requests of its own choice, hardly
 // any query gets all its parts, and the shards work for nothing. The requests
-// beyond the limit are turned away before anything is sent, by one draw for all
+// beyond the limit are rejected before anything is sent, by one draw for all
 // shards of a query, so that the queries that start are whole.
 //
 // A rate, not a number of outstanding requests: with many instances the share
@@ -27,7 +27,7 @@
   // `draw` is uniform in [0, 1).
   bool Admit(uint32_t rank, double draw, TimePoint now);
   // No server had capacity for an admitted request.
-  void OnTurnedAway(TimePoint now);
+  void OnRejected(TimePoint now);
   // True while requests may be refused.
   bool limited() const { return m_limit.has_value(); }
   // Requests per second; only if limited.
@@ -51,7 +51,7 @@
   Demand m_wanted{};
   // Requests of the present round.
   uint32_t m_admitted = 0;
-  uint32_t m_turned_away = 0;
+  uint32_t m_rejected = 0;
   std::optional<double> m_limit;
 };
 
--- a/src/gateway/exchange_parts.cc
+++ b/src/gateway/exchange_parts.cc
@@ -178,7 +178,7 @@
   if (TryRetry(part, outcome))
     return;
   if (outcome == AttemptOutcome::kRefused)
-    part.service->OnTurnedAway();
+    part.service->OnRejected();
   FailPart(part, ToString(outcome));
 }
 
@@ -227,7 +227,7 @@
     } else if (!part.service->MayRecover(part.tried)) {
       FailPart(part, "no_server");
     } else if (over) {
-      part.service->OnTurnedAway();
+      part.service->OnRejected();
       FailPart(part, "no_capacity");
     }
   }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -109,14 +109,14 @@
 // A service is limited when more than this share of what was sent to it found
 // no server with capacity: above the 4 % that regular pauses of 100 ms in 2.4 s
 // take at full load, and above the tenth of the shards that an answer may lack.
-inline constexpr double kTurnedAwayShare = 0.12;
-// At least this many, since one server's pause turns a few away.
-inline constexpr uint32_t kMinTurnedAway = 5;
-// Requests after which those that were turned away are counted anew.
+inline constexpr double kRejectedShare = 0.12;
+// At least this many, since one server's pause rejects a few.
+inline constexpr uint32_t kMinRejected = 5;
+// Requests after which those that were rejected are counted anew.
 inline constexpr uint32_t kAdmissionRound = 40;
 // Share of the limit that is left at least when it is lowered.
 inline constexpr double kMaxAdmissionCut = 0.5;
-// Growth of the limit per tenth of the window while few are turned away, as a
+// Growth of the limit per tenth of the window while few are rejected, as a
 // share of the limit, and at least as a share of the demand: a limit near 0,
 // as after an outage of all servers, is gone within three seconds.
 inline constexpr double kAdmissionGrowth = 0.05;
--- a/src/gateway/request_times.h
+++ b/src/gateway/request_times.h
@@ -32,7 +32,7 @@
 
 // The time budget of a request. A caller that asks again states the rest of
 // its budget, from which its first attempt is known. If the objective is missed
-// by then, it is counted anew: a caller that was turned away before gets as
+// by then, it is counted anew: a caller that was rejected before gets as
 // whole an answer as any other.
 RequestTimes PlanTimes(const RequestTimesInput& input);
 
--- a/src/gateway/service.cc
+++ b/src/gateway/service.cc
@@ -89,9 +89,9 @@
   return admitted;
 }
 
-void Service::OnTurnedAway() {
+void Service::OnRejected() {
   const bool was_limited = m_admission.limited();
-  m_admission.OnTurnedAway(m_context->loop->Now());
+  m_admission.OnRejected(m_context->loop->Now());
   LogLimit(was_limited);
 }
 
--- a/src/gateway/service.h
+++ b/src/gateway/service.h
@@ -33,7 +33,7 @@
   // Decides on a request of `rank`; see AdmissionRate.
   bool Admit(uint32_t rank, double draw);
   // No server had capacity for an admitted request.
-  void OnTurnedAway();
+  void OnRejected();
   bool limited() const { return m_admission.limited(); }
 
   void Add(std::shared_ptr<BackendServer> server);
--- a/tests/gateway/admission_rate_test.cc
+++ b/tests/gateway/admission_rate_test.cc
@@ -21,7 +21,7 @@
 }
 
 // Shards of a scatter, each of which takes a number of requests per slot of
-// time and turns the others away, in an order of its own.
+// time and rejects the others, in an order of its own.
 class BusyShards {
  public:
   BusyShards(size_t shards, size_t needed, uint32_t capacity_per_slot)
@@ -70,7 +70,7 @@
       if (i < m_capacity)
         (*parts)[asked[i]][shard] = true;
       else
-        m_rates[shard].OnTurnedAway(now);
+        m_rates[shard].OnRejected(now);
     }
   }
 
@@ -104,7 +104,7 @@
 
 // Guards against the collapse of a scatter under overload: shards that turn
 // away a quarter of the parts each leave hardly a query whole. The model has
-// neither queues nor retries, so that each part turned away is lost.
+// neither queues nor retries, so that each part rejected is lost.
 TEST(AdmissionRate, ScatterUnderOverloadServesWhatTheShardsCanTake) {
   constexpr uint32_t kCapacity = 30;
   const Load open = PlayOverload(40, kCapacity, false);
@@ -127,7 +127,7 @@
   for (int i = 0; i < 200; ++i) {
     now += milliseconds(5);
     if (rate.Admit(0, 0.5, At(now)) && i % 2 == 0)
-      rate.OnTurnedAway(At(now));
+      rate.OnRejected(At(now));
   }
   EXPECT_TRUE(rate.limited());
   for (int i = 0; i < 20; ++i) {
@@ -146,7 +146,7 @@
   for (int i = 0; i < 600; ++i) {
     now += milliseconds(5);
     if (rate.Admit(0, (i % 10) / 10.0, At(now)))
-      rate.OnTurnedAway(At(now));
+      rate.OnRejected(At(now));
   }
   EXPECT_LT(rate.AdmittedShare(0), 0.5);
   for (int i = 0; i < 600; ++i) {
@@ -165,7 +165,7 @@
     now += milliseconds(10);
     EXPECT_TRUE(rate.Admit(0, 0.999, At(now)));
     if (i % 40 == 0)
-      rate.OnTurnedAway(At(now));
+      rate.OnRejected(At(now));
   }
   EXPECT_FALSE(rate.limited());
 }
@@ -179,7 +179,7 @@
     now += milliseconds(5);
     const uint32_t rank = 1 + (i % 2);
     if (rate.Admit(rank, 0.5, At(now)) && i % 2 == 0)
-      rate.OnTurnedAway(At(now));
+      rate.OnRejected(At(now));
   }
   ASSERT_TRUE(rate.limited());
   const double urgent = rate.AdmittedShare(1);
--- a/tests/gateway/feed_test.cc
+++ b/tests/gateway/feed_test.cc
@@ -65,7 +65,7 @@
     EXPECT_LE(count, kFeedChildren) << address;
 }
 
-// Guards against an instance that the store turns away while it serves others:
+// Guards against an instance that the store rejects while it serves others:
 // it goes on with an instance that watches the store itself.
 TEST(FeedChoice, FollowsAnotherDataCentreWhileTheStoreRefuses) {
   FeedChoice choice = MakeChoice("a-1");
