--- a/src/gateway/backend_server.cc
+++ b/src/gateway/backend_server.cc
@@ -113,12 +113,17 @@
       m_slots.erase(idle);
     }
   }
-  m_slots.push_back({.connection = std::make_unique<ServerConnection>(
-                         m_context->loop, this, m_entry.address,
-                         &m_context->platform->headers.request_id,
-                         TcpTimeouts{.user_timeout = kServerUserTimeout,
-                                     .keepalive = Duration(0)}),
-                     .attempt = nullptr});
+  m_slots.push_back(
+      {.connection = std::make_unique<ServerConnection>(
+           m_context->loop, this, m_entry.address,
+           &m_context->platform->headers.request_id,
+           TcpTimeouts{.user_timeout = kServerUserTimeout,
+                       .keepalive = Duration(0)},
+           MessageLimits{.max_head_bytes = kMaxReplyHeadBytes,
+                         .max_body_bytes = kMaxReplyBodyBytes,
+                         .max_buffered_bytes = kMaxBufferedReplyBytes,
+                         .buffered = m_context->reply_bytes}),
+       .attempt = nullptr});
   return m_slots.back();
 }
 
@@ -134,12 +139,14 @@
       .connection = slot->connection.get(),
       .sent_at = now,
       .median_latency = request.median_latency,
+      .deadline = request.deadline,
       .repeat = request.repeat,
       .abandoned_at = std::nullopt,
   });
   ++m_outstanding;
   slot->connection->Send(std::move(request.bytes),
-                         std::move(request.request_id), request.head_only);
+                         std::move(request.request_id), request.head_only,
+                         std::min(request.deadline, now + kMaxUnsentAge));
   return slot->attempt.get();
 }
 
@@ -155,6 +162,11 @@
   Remove(*connection);
 }
 
+void BackendServer::Detach(Attempt* attempt) {
+  attempt->listener = nullptr;
+  attempt->abandoned_at = std::max(attempt->deadline, m_context->loop->Now());
+}
+
 void BackendServer::AbortConnect(Attempt* attempt) {
   ServerConnection* connection = attempt->connection;
   connection->Close();
--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -53,6 +53,8 @@
   TimePoint sent_at;
   // Median latency of the route when the attempt was sent; 0 if unknown.
   Duration median_latency{0};
+  // Deadline of the request.
+  TimePoint deadline;
   // The attempt is a hedge or a retry.
   bool repeat = false;
   std::optional<TimePoint> abandoned_at;
@@ -69,6 +71,7 @@
   // has been idle for long: the server may have closed it.
   bool non_idempotent = false;
   bool repeat = false;
+  TimePoint deadline;
   Duration median_latency{0};
 };
 
@@ -103,9 +106,9 @@
   // Closes the connection of `attempt`, which takes too long to be established
   // and has sent nothing, and marks the server as unreachable.
   void AbortConnect(Attempt* attempt);
-  // Drops interest in the reply to `attempt`, but lets the request run to its
-  // end.
-  void Detach(Attempt* attempt) { attempt->listener = nullptr; }
+  // Drops interest in the reply to `attempt`, but lets the request run until
+  // its deadline.
+  void Detach(Attempt* attempt);
   // Closes connections that timed out and probes a server that is down. Called
   // periodically.
   void Sweep(TimePoint now);
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -293,7 +293,13 @@
 }
 
 void CallerConnection::CloseIfIdle() {
-  if (m_state == State::kHead && !m_head_started)
+  // Bytes that the kernel has received and the event loop has not yet reported
+  // may be a request; closing now would reset it.
+  Read();
+  UpdateEvents();
+  const bool is_new =
+      m_first_request && m_loop->Now() - m_state_since < kNewConnectionGrace;
+  if (m_state == State::kHead && !m_head_started && !is_new)
     Close();
 }
 
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -21,10 +21,13 @@
     m_disconnect_hook = std::move(hook);
   }
   void OnIo(uint32_t events) override;
+  void Abort() override { Close(); }
 
   // Closes the connection, or answers with status 408, if a timeout of the
   // current state has expired.
   void CheckTimeouts(TimePoint now);
+  // Closes the connection unless a request has arrived on it, or it is so new
+  // that its first request may be on the way.
   void CloseIfIdle();
   // A request was received at least in part and is not fully answered.
   bool busy() const;
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -44,6 +44,10 @@
 }
 
 void CallerListener::OnIo(uint32_t /*events*/) {
+  AcceptPending();
+}
+
+void CallerListener::AcceptPending() {
   while (m_socket.open()) {
     Socket accepted = AcceptFrom(
         m_socket.fd(),
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -76,7 +76,9 @@
   bool draining() const { return m_draining; }
   // Closes the connections without a request in progress.
   void CloseIdle();
-  // Closes the listening socket.
+  // Accepts the connections that wait in the backlog of the socket.
+  void AcceptPending();
+  // Closes the listening socket. Connections in its backlog are reset.
   void StopAccepting();
   size_t connections() const { return m_connections.size(); }
   // Number of requests that were received at least in part and are not fully
--- a/src/gateway/event_loop.cc
+++ b/src/gateway/event_loop.cc
@@ -115,15 +115,27 @@
     if (const auto period = found->second.period) {
       m_deadlines.emplace(now + *period, id);
       const Callback callback = found->second.callback;
-      callback();
+      RunGuarded(callback);
     } else {
       const Callback callback = std::move(found->second.callback);
       m_timers.erase(found);
-      callback();
+      RunGuarded(callback);
     }
   }
 }
 
+bool EventLoop::RunGuarded(const std::function<void()>& step) {
+  try {
+    step();
+    return true;
+  } catch (const std::exception& error) {
+    if (!m_error_hook)
+      throw;
+    m_error_hook(error);
+    return false;
+  }
+}
+
 void EventLoop::Run() {
   std::array<epoll_event, kEventsPerWait> events{};
   m_stopped = false;
@@ -136,7 +148,9 @@
     UpdateTime();
     for (int i = 0; i < count; ++i) {
       const epoll_event& event = events.at(static_cast<size_t>(i));
-      static_cast<IoHandler*>(event.data.ptr)->OnIo(event.events);
+      auto* handler = static_cast<IoHandler*>(event.data.ptr);
+      if (!RunGuarded([handler, &event] { handler->OnIo(event.events); }))
+        RunGuarded([handler] { handler->Abort(); });
     }
     // Events come before timers: after a pause of the process, replies that
     // have arrived must not be treated as timed out.
--- a/src/gateway/event_loop.h
+++ b/src/gateway/event_loop.h
@@ -4,6 +4,8 @@
 // PRIVATE HEADER. Event loop of the gateway.
 
 #include <cstdint>
+#include <exception>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <queue>
@@ -21,6 +23,9 @@
   virtual ~IoHandler() = default;
   // `events` is a mask of EPOLLIN and the like.
   virtual void OnIo(uint32_t events) = 0;
+  // An exception escaped from OnIo(). Releases the descriptor, whose state is
+  // unknown.
+  virtual void Abort() {}
 };
 
 // epoll loop and timers of one thread. All callbacks run on the thread that
@@ -37,6 +42,11 @@
 
   void Run();
   void Stop() { m_stopped = true; }
+  // Receives the exceptions that escape from handlers and timers, so that one
+  // unexpected error does not end the process. Without a hook they propagate
+  // from Run().
+  using ErrorHook = std::function<void(const std::exception&)>;
+  void SetErrorHook(ErrorHook hook) { m_error_hook = std::move(hook); }
 
   // `handler` must stay valid until the end of the iteration in which the
   // descriptor is unwatched. Retire() takes care of that.
@@ -65,11 +75,15 @@
   TimerHandle Subscribe(Duration delay,
                         std::optional<Duration> period,
                         Callback callback);
+  // Runs `step` and reports an exception to the hook. Returns false if there
+  // was one.
+  bool RunGuarded(const std::function<void()>& step);
   int WaitMillis() const;
   void RunTimers();
 
   int m_epoll = -1;
   bool m_stopped = false;
+  ErrorHook m_error_hook;
   TimePoint m_now;
   uint64_t m_next_timer = 1;
   std::priority_queue<TimerDeadline, std::vector<TimerDeadline>, std::greater<>>
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -65,7 +65,10 @@
       ParseNumber(request.headers->Find(m_context->platform->headers.deadline));
   std::optional<Duration> caller_timeout;
   if (stated) {
-    caller_timeout = std::chrono::milliseconds(*stated);
+    constexpr int64_t kMaxMillis =
+        std::chrono::duration_cast<std::chrono::milliseconds>(kMaxCallerTimeout)
+            .count();
+    caller_timeout = std::chrono::milliseconds(std::min(*stated, kMaxMillis));
     m_route->stats->max_caller_timeout =
         std::max(m_route->stats->max_caller_timeout, *caller_timeout);
   }
@@ -76,6 +79,18 @@
        .caller_timeout = caller_timeout,
        .max_caller_timeout = m_route->stats->max_caller_timeout,
        .first_on_connection = request.first_on_connection});
+  if (m_context->answer_by) {
+    m_times.deadline = std::min(m_times.deadline, *m_context->answer_by);
+    m_times.queue_deadline = std::min(m_times.queue_deadline, m_times.deadline);
+  }
+}
+
+void Exchange::EndBy(TimePoint answer_by) {
+  if (m_finished || m_times.deadline <= answer_by)
+    return;
+  m_times.deadline = answer_by;
+  m_times.queue_deadline = std::min(m_times.queue_deadline, answer_by);
+  ArmTimer();
 }
 
 // Builds the request head without the deadline and target server fields, which
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -38,6 +38,9 @@
   Exchange& operator=(const Exchange&) = delete;
 
   void Start();
+  // Moves the deadline to `answer_by` if it is later. The request gets its
+  // final answer then: what was received so far, or a failure.
+  void EndBy(TimePoint answer_by);
   void OnAttemptEnd(Attempt& attempt,
                     AttemptOutcome outcome,
                     MessageParser* reply) override;
--- a/src/gateway/exchange_parts.cc
+++ b/src/gateway/exchange_parts.cc
@@ -81,6 +81,10 @@
 }
 
 bool Exchange::SendPart(Part& part, bool repeat) {
+  // After a suspension of the process, events are handled before the timer that
+  // ends the request. Nothing may be sent for it any more.
+  if (m_context->loop->Now() >= m_times.deadline)
+    return false;
   BackendServer* server = part.service->Pick(part.tried_servers);
   if (server == nullptr)
     return false;
@@ -92,6 +96,7 @@
   request.head_only = m_head_only;
   request.non_idempotent = !m_route->config.idempotent;
   request.repeat = repeat;
+  request.deadline = m_times.deadline;
   request.median_latency = m_median_latency;
   part.sent_at = m_context->loop->Now();
   part.tried_servers.push_back(server);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,9 +19,15 @@
 // after SIGTERM. Callers that send another request meanwhile get it answered
 // with "Connection: close".
 constexpr double kDrainIdleShare = 0.5;
-// Time before SIGKILL at which the program stops even if requests are in
-// flight.
-constexpr Duration kGraceReserve = std::chrono::milliseconds(500);
+// Time before SIGKILL by which every request gets its final answer, and time
+// before it at which the program stops even if an answer is not yet sent.
+constexpr Duration kAnswerReserve = std::chrono::milliseconds(500);
+constexpr Duration kStopReserve = std::chrono::milliseconds(150);
+// A request that arrives less than this time before the last answers of a drain
+// is rejected, since it would most likely be cut off.
+constexpr Duration kMinDrainServiceTime = std::chrono::milliseconds(100);
+// Retry-After of such a request; another instance takes the next attempt.
+constexpr const char* kDrainRetryAfterSeconds = "0.050";
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(50);
 constexpr Duration kSettingsCheckPeriod = std::chrono::seconds(2);
 constexpr Duration kGaugePeriod = std::chrono::seconds(5);
@@ -61,6 +67,7 @@
                 .settings = &m_settings,
                 .metrics = &m_metrics,
                 .log = &m_log,
+                .reply_bytes = &m_reply_bytes,
                 .random = std::move(random)},
       m_directory(&m_context),
       m_route_table_builder(&m_directory),
@@ -117,12 +124,17 @@
                          {"data_centre", m_settings.data_centre.value()},
                          {"caller_address", m_settings.caller_address},
                          {"store_address", m_settings.store_address}});
+  m_loop->SetErrorHook([this](const std::exception& error) {
+    m_log.Warning("unexpected_error", {{"reason", error.what()}});
+  });
   m_store_follower.Start();
   m_loop->SubscribeEvery(kSettingsCheckPeriod, [this] { CheckSettingsFile(); });
   m_loop->SubscribeEvery(kGaugePeriod, [this] { UpdateGauges(); });
 }
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway() {
+  m_loop->SetErrorHook(nullptr);
+}
 
 bool Gateway::ready() const {
   return m_has_listing && m_routes != nullptr && !m_drain_started;
@@ -142,10 +154,10 @@
        .body = m_metrics.Serialise()});
 }
 
-void Gateway::RefuseUnconfigured(Responder& responder) {
+void Gateway::Refuse(Responder& responder, const char* retry_after_s) {
   responder.Respond({.status = kUnavailable,
                      .header_lines = m_platform.headers.retry_after + ": " +
-                                     kUnconfiguredRetryAfterSeconds + "\r\n"});
+                                     retry_after_s + "\r\n"});
 }
 
 void Gateway::OnRequest(InboundRequest request, Responder& responder) {
@@ -155,7 +167,15 @@
     m_log.Warning("request_refused", {{"request_id", std::string(id)},
                                       {"status", kUnavailable},
                                       {"why", "no_configuration"}});
-    RefuseUnconfigured(responder);
+    Refuse(responder, kUnconfiguredRetryAfterSeconds);
+    return;
+  }
+  if (m_context.answer_by &&
+      m_loop->Now() + kMinDrainServiceTime >= *m_context.answer_by) {
+    m_log.Info("request_refused", {{"request_id", std::string(id)},
+                                   {"status", kUnavailable},
+                                   {"why", "draining"}});
+    Refuse(responder, kDrainRetryAfterSeconds);
     return;
   }
   const std::string_view path =
@@ -318,6 +338,10 @@
     return;
   m_drain_started = m_loop->Now();
   m_caller_listener.BeginDrain();
+  m_context.answer_by =
+      *m_drain_started + m_settings.bounds.grace - kAnswerReserve;
+  for (const auto& [key, exchange] : m_exchanges)
+    exchange->EndBy(*m_context.answer_by);
   m_log.Info("drain_started",
              {{"in_flight", m_caller_listener.in_flight()},
               {"connections", m_caller_listener.connections()}});
@@ -329,13 +353,13 @@
   const Duration grace = m_settings.bounds.grace;
   const auto idle_time = Duration(static_cast<int64_t>(
       static_cast<double>(grace.count()) * kDrainIdleShare));
-  if (age >= idle_time) {
-    m_caller_listener.StopAccepting();
+  if (age >= idle_time)
     m_caller_listener.CloseIdle();
-  }
-  const bool empty = age >= idle_time && m_caller_listener.in_flight() == 0 &&
-                     m_caller_listener.connections() == 0;
-  if (!empty && age < grace - kGraceReserve)
+  // The socket stays open until the end, since its backlog may hold
+  // connections whose requests were already sent.
+  m_caller_listener.AcceptPending();
+  const bool empty = age >= idle_time && m_caller_listener.connections() == 0;
+  if (!empty && age < grace - kStopReserve)
     return;
   m_log.Info("stopped", {{"in_flight", m_caller_listener.in_flight()},
                          {"after_ms", age.count() / 1000}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,7 +54,7 @@
   void OnRequest(InboundRequest request, Responder& responder);
   void OnReadiness(const InboundRequest& request, Responder& responder);
   void OnMetrics(const InboundRequest& request, Responder& responder);
-  void RefuseUnconfigured(Responder& responder);
+  void Refuse(Responder& responder, const char* retry_after_s);
 
   void OnListing(const std::vector<StoreItem>& items, Revision revision);
   void OnChange(const StoreItem& item);
@@ -77,6 +77,7 @@
   const std::unique_ptr<StoreCodec> m_store_codec;
   GatewayMetrics m_metrics;
   GatewayLog m_log;
+  BufferedBytes m_reply_bytes;
   GatewayContext m_context;
   ServerDirectory m_directory;
   RouteTableBuilder m_route_table_builder;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -3,10 +3,13 @@
 
 // PRIVATE HEADER. Objects shared by the components of one gateway.
 
+#include <optional>
+
 #include "gateway/event_loop.h"
 #include "gateway/gateway_log.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/http_message.h"
 #include "gateway/platform_adapter.h"
 #include "wasabihook/random_source.h"
 
@@ -19,6 +22,10 @@
   const GatewaySettings* settings = nullptr;
   GatewayMetrics* metrics = nullptr;
   GatewayLog* log = nullptr;
+  // Bytes of the replies that are being received from backend servers.
+  BufferedBytes* reply_bytes = nullptr;
+  // While the instance drains: time by which every request must be answered.
+  std::optional<TimePoint> answer_by{};
   RandomSource random;
 
   // Uniformly distributed in [0, 1).
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -46,6 +46,21 @@
 // service, as a multiple of its slots. Any more would queue there for longer
 // than an answer may take.
 inline constexpr double kOverloadConcurrencyFactor = 5;
+// Bounds on what a server may send, so that bytes without end cannot exhaust
+// the memory of the smallest machine (160 MB): the head of a reply, its body,
+// the messages before it that are not the reply, and the bodies that are being
+// received on all connections together.
+inline constexpr size_t kMaxReplyHeadBytes = size_t{64} * 1024;
+inline constexpr size_t kMaxReplyBodyBytes = size_t{8} * 1024 * 1024;
+inline constexpr size_t kMaxSkippedReplyBytes = size_t{256} * 1024;
+inline constexpr size_t kMaxBufferedReplyBytes = size_t{32} * 1024 * 1024;
+// Bound on a reply of the store or of another instance. The store returns about
+// 1 MB in a page; the events of a watch may be more.
+inline constexpr size_t kMaxStoreReplyBytes = size_t{32} * 1024 * 1024;
+// An attempt that is not connected this long after it was made is not sent any
+// more, even if the connection is established then. Exceeds
+// kConnectFailoverDelay, so it matters only if the process was suspended.
+inline constexpr Duration kMaxUnsentAge = milliseconds(200);
 
 // --- State of backend servers ---
 // Weight of the newest reply in the moving averages of a server.
@@ -154,6 +169,8 @@
 // Upper bound of Retry-After as a share of the caller's remaining time. Callers
 // honour it up to a third of that time.
 inline constexpr double kRetryAfterShare = 0.3;
+// Longest remaining time that is accepted from a caller.
+inline constexpr Duration kMaxCallerTimeout = std::chrono::hours(1);
 // Timeout of requests on a route without one.
 inline constexpr Duration kDefaultTimeout = seconds(10);
 
@@ -164,6 +181,9 @@
 // Time to wait for the caller to close a connection that the gateway has
 // finished.
 inline constexpr Duration kCloseLinger = milliseconds(500);
+// While the instance drains, a connection without a request stays open for this
+// time after it was accepted: its first request may be on the way.
+inline constexpr Duration kNewConnectionGrace = milliseconds(300);
 // Added to the idle timeout, until which callers may reuse a connection.
 // Closing it later prevents a request from racing with the close.
 inline constexpr Duration kIdleTimeoutMargin = milliseconds(500);
--- a/src/gateway/http_message.cc
+++ b/src/gateway/http_message.cc
@@ -15,9 +15,9 @@
     "Upgrade",           "Proxy-Authorization",
     "Proxy-Authenticate"};
 
-// Longest head that http_parser accepts. CallerConnection enforces the smaller
-// limit for callers.
-constexpr uint32_t kParserMaxHead = 1024 * 1024;
+// Longest head, trailer and chunk header that http_parser accepts. Callers and
+// servers have smaller limits of their own.
+constexpr uint32_t kParserMaxHead = 256 * 1024;
 
 std::string_view Trim(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
@@ -115,7 +115,8 @@
   return ListContains(connection, name);
 }
 
-MessageParser::MessageParser(Type type) : m_type(type) {
+MessageParser::MessageParser(Type type, const MessageLimits& limits)
+    : m_type(type), m_limits(limits) {
   http_parser_set_max_header_size(kParserMaxHead);
   Start();
 }
@@ -131,9 +132,36 @@
   m_until_close = false;
   m_headers.Clear();
   m_target.clear();
+  m_head_bytes = 0;
+  ReleaseBody();
   m_body.clear();
 }
 
+void MessageParser::ReleaseBody() {
+  if (m_limits.buffered != nullptr)
+    m_limits.buffered->used -= m_counted_bytes;
+  m_counted_bytes = 0;
+}
+
+std::string MessageParser::TakeBody() {
+  ReleaseBody();
+  return std::move(m_body);
+}
+
+int MessageParser::OnBody(std::string_view data) {
+  if (m_body.size() + data.size() > m_limits.max_body_bytes)
+    return 1;
+  if (m_limits.buffered != nullptr) {
+    size_t& used = m_limits.buffered->used;
+    if (used + data.size() > m_limits.max_buffered_bytes)
+      return 1;
+    used += data.size();
+    m_counted_bytes += data.size();
+  }
+  m_body.append(data);
+  return 0;
+}
+
 const http_parser_settings& MessageParser::Settings() {
   static const http_parser_settings settings = [] {
     http_parser_settings out{};
@@ -156,8 +184,7 @@
       return Self(parser)->OnHeadersComplete();
     };
     out.on_body = [](http_parser* parser, const char* data, size_t size) {
-      Self(parser)->m_body.append(data, size);
-      return 0;
+      return Self(parser)->OnBody({data, size});
     };
     out.on_message_complete = [](http_parser* parser) {
       return Self(parser)->OnMessageComplete();
@@ -188,6 +215,11 @@
   const size_t used =
       http_parser_execute(&m_parser, &Settings(), data.data(), data.size());
   const auto error = HTTP_PARSER_ERRNO(&m_parser);
+  if (m_state == ParseState::kHead) {
+    m_head_bytes += used;
+    if (m_head_bytes > m_limits.max_head_bytes)
+      m_state = ParseState::kError;
+  }
   if (m_state == ParseState::kComplete) {
     if (error == HPE_PAUSED)
       http_parser_pause(&m_parser, 0);
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -6,6 +6,7 @@
 #include <http_parser.h>
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,13 +53,31 @@
 
 enum class ParseState : uint8_t { kHead, kBody, kComplete, kError };
 
+// Bytes that the messages of several parsers hold together.
+struct BufferedBytes {
+  size_t used = 0;
+};
+
+// Bounds on one message, so that a peer that sends without end cannot exhaust
+// the memory of the process.
+struct MessageLimits {
+  size_t max_head_bytes = std::numeric_limits<size_t>::max();
+  size_t max_body_bytes = std::numeric_limits<size_t>::max();
+  // Bound on the bodies that are being received on all connections that share
+  // `buffered`, which may be null.
+  size_t max_buffered_bytes = std::numeric_limits<size_t>::max();
+  BufferedBytes* buffered = nullptr;
+};
+
 // Incremental parser. Stops at the end of each message and leaves the bytes
 // that follow it unread.
 class MessageParser {
  public:
   enum class Type : uint8_t { kRequest, kResponse };
 
-  explicit MessageParser(Type type);
+  // A message that exceeds a limit is an error.
+  explicit MessageParser(Type type, const MessageLimits& limits = {});
+  ~MessageParser() { ReleaseBody(); }
   MessageParser(const MessageParser&) = delete;
   MessageParser& operator=(const MessageParser&) = delete;
 
@@ -76,7 +95,7 @@
   bool started() const { return m_started; }
   const HeaderList& headers() const { return m_headers; }
   const std::string& body() const { return m_body; }
-  std::string TakeBody() { return std::move(m_body); }
+  std::string TakeBody();
   const std::string& target() const { return m_target; }
   std::string_view method() const;
   int status() const { return static_cast<int>(m_parser.status_code); }
@@ -92,17 +111,23 @@
   static const http_parser_settings& Settings();
   int OnHeadersComplete();
   int OnMessageComplete();
+  int OnBody(std::string_view data);
+  void ReleaseBody();
 
   const Type m_type;
+  const MessageLimits m_limits;
   http_parser m_parser{};
   ParseState m_state = ParseState::kHead;
   bool m_started = false;
   bool m_head_only = false;
   bool m_keep_alive = false;
   bool m_until_close = false;
+  size_t m_head_bytes = 0;
   HeaderList m_headers;
   std::string m_target;
   std::string m_body;
+  // Bytes of the body that are counted in m_limits.buffered.
+  size_t m_counted_bytes = 0;
 };
 
 // True if a request head, including the empty line at its end, has the line
--- a/src/gateway/server_connection.cc
+++ b/src/gateway/server_connection.cc
@@ -5,6 +5,8 @@
 #include <array>
 #include <utility>
 
+#include "gateway/gateway_settings.h"
+
 namespace wasabihook::gateway {
 namespace {
 
@@ -23,11 +25,13 @@
                                    ConnectionOwner* owner,
                                    const std::string& address,
                                    const std::string* request_id_field,
-                                   const TcpTimeouts& timeouts)
+                                   const TcpTimeouts& timeouts,
+                                   const MessageLimits& limits)
     : m_loop(loop),
       m_owner(owner),
       m_request_id_field(request_id_field),
       m_socket(ConnectTo(address, timeouts)),
+      m_parser(MessageParser::Type::kResponse, limits),
       m_opened_at(loop->Now()),
       m_idle_since(loop->Now()) {
   if (m_socket.open())
@@ -47,11 +51,14 @@
 
 void ServerConnection::Send(std::string bytes,
                             std::string request_id,
-                            bool head_only) {
+                            bool head_only,
+                            std::optional<TimePoint> start_before) {
   m_output = std::move(bytes);
   m_output_sent = 0;
   m_request_id = std::move(request_id);
   m_head_only = head_only;
+  m_start_before = start_before;
+  m_skipped_bytes = 0;
   m_busy = true;
   m_request_started = false;
   m_sent_at = m_loop->Now();
@@ -91,6 +98,13 @@
   }
   m_connected = true;
   m_idle_since = m_loop->Now();
+  const bool expired =
+      m_busy && m_start_before && m_loop->Now() > *m_start_before;
+  if (expired) {
+    m_owner->OnConnected(*this);
+    Fail(WireOutcome::kNotSent, false);
+    return;
+  }
   if (m_busy)
     Flush();
   else
@@ -111,6 +125,11 @@
     Read();
 }
 
+void ServerConnection::Abort() {
+  if (m_socket.open())
+    OnStreamEnd(false);
+}
+
 void ServerConnection::Read() {
   auto& buffer = ReadBuffer();
   while (m_socket.open()) {
@@ -134,7 +153,9 @@
       Fail(WireOutcome::kInvalidReply, true);
       return false;
     }
-    data.remove_prefix(m_parser.Feed(data));
+    const size_t used = m_parser.Feed(data);
+    data.remove_prefix(used);
+    m_skipped_bytes += used;
     if (m_parser.state() == ParseState::kError) {
       Fail(WireOutcome::kInvalidReply, true);
       return false;
@@ -142,15 +163,18 @@
     if (m_parser.state() != ParseState::kComplete)
       return true;
     const bool interim = m_parser.status() < kFirstFinalStatus;
-    const std::string_view id = m_parser.headers().Find(*m_request_id_field);
-    // A second, late reply to an earlier request carries the id of that
-    // request.
-    const bool other_request = id.data() != nullptr && id != m_request_id;
-    if (interim || (other_request && m_parser.keep_alive())) {
+    const bool foreign = !interim && IsForeign();
+    const bool skipped =
+        interim || (foreign && CarriesRequestId() && m_parser.keep_alive());
+    if (skipped) {
+      if (m_skipped_bytes > kMaxSkippedReplyBytes) {
+        Fail(WireOutcome::kInvalidReply, true);
+        return false;
+      }
       m_parser.Start(m_head_only);
       continue;
     }
-    if (other_request) {
+    if (foreign) {
       Fail(WireOutcome::kLost, true);
       return false;
     }
@@ -160,8 +184,24 @@
   return true;
 }
 
+bool ServerConnection::CarriesRequestId() const {
+  return m_parser.headers().Has(*m_request_id_field);
+}
+
+// A second, late reply to an earlier request carries the id of that request. If
+// a reply carries no id, it can only be told apart on a connection that has not
+// been used before.
+bool ServerConnection::IsForeign() const {
+  if (m_request_id_field->empty())
+    return false;
+  if (!CarriesRequestId())
+    return m_reused;
+  return m_parser.headers().Find(*m_request_id_field) != m_request_id;
+}
+
 void ServerConnection::OnReplyComplete(std::string_view rest) {
   m_busy = false;
+  m_reused = true;
   m_idle_since = m_loop->Now();
   // The connection can't be reused if extra bytes follow the reply, if the
   // reply came before the whole request was sent, or if it announces the close.
--- a/src/gateway/server_connection.h
+++ b/src/gateway/server_connection.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "gateway/event_loop.h"
@@ -45,12 +46,18 @@
                    ConnectionOwner* owner,
                    const std::string& address,
                    const std::string* request_id_field,
-                   const TcpTimeouts& timeouts);
+                   const TcpTimeouts& timeouts,
+                   const MessageLimits& limits = {});
   ~ServerConnection() override;
 
   // Sends a request as soon as the connection is established. Requires
-  // usable(). `head_only`: the method is HEAD.
-  void Send(std::string bytes, std::string request_id, bool head_only);
+  // usable(). `head_only`: the method is HEAD. A request that could not be
+  // started by `start_before`, for example because the process was suspended,
+  // ends with kNotSent.
+  void Send(std::string bytes,
+            std::string request_id,
+            bool head_only,
+            std::optional<TimePoint> start_before = std::nullopt);
   // Closes the connection without further events. A request in progress is
   // dropped.
   void Close();
@@ -68,6 +75,7 @@
   MessageParser& reply() { return m_parser; }
 
   void OnIo(uint32_t events) override;
+  void Abort() override;
 
  private:
   void FinishConnect();
@@ -75,6 +83,10 @@
   void Read();
   // False if the connection is closed.
   bool Consume(std::string_view data);
+  bool CarriesRequestId() const;
+  // True if the complete message in the parser is not the reply to the current
+  // request.
+  bool IsForeign() const;
   void OnReplyComplete(std::string_view rest);
   void OnStreamEnd(bool orderly);
   void Fail(WireOutcome outcome, bool failed);
@@ -84,10 +96,16 @@
   ConnectionOwner* const m_owner;
   const std::string* const m_request_id_field;
   Socket m_socket;
-  MessageParser m_parser{MessageParser::Type::kResponse};
+  MessageParser m_parser;
   std::string m_output;
   size_t m_output_sent = 0;
   std::string m_request_id;
+  std::optional<TimePoint> m_start_before;
+  // Bytes of messages that were read since the request was sent and that are
+  // not its reply.
+  size_t m_skipped_bytes = 0;
+  // An earlier request of this connection was answered.
+  bool m_reused = false;
   bool m_connected = false;
   bool m_busy = false;
   bool m_head_only = false;
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -31,7 +31,9 @@
     m_connection = std::make_unique<ServerConnection>(
         m_loop, this, m_address, &m_no_request_id_field,
         TcpTimeouts{.user_timeout = kStoreUserTimeout,
-                    .keepalive = kStoreKeepalive});
+                    .keepalive = kStoreKeepalive},
+        MessageLimits{.max_head_bytes = kMaxReplyHeadBytes,
+                      .max_body_bytes = kMaxStoreReplyBytes});
   }
   m_timeout = m_loop->SubscribeOnce(timeout, [this] {
     m_timeout.reset();
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -37,8 +37,11 @@
   void OnConnected(ServerConnection& connection) override;
   void OnClosed(ServerConnection& connection, bool failed) override;
 
- private:
+  // Closes the connection, so that the next call opens another one. Requires
+  // !busy().
   void DropConnection();
+
+ private:
   void Finish(std::optional<StoreReply> reply);
 
   EventLoop* const m_loop;
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -130,9 +130,13 @@
   StoreListing page;
   try {
     page = m_codec->DecodeListing(reply->body);
+    // Another page than the one asked for is a late copy of an earlier reply.
+    if (!page.items.empty() && page.items.front().key <= m_next_page_after)
+      throw std::runtime_error("not the page that was asked for");
   } catch (const std::exception& error) {
     m_context->log->Warning("store_reply_invalid",
                             {{"call", "list"}, {"reason", error.what()}});
+    m_client.DropConnection();
     Retry("list", reply->status, &StoreFollower::List);
     return;
   }
@@ -251,8 +255,12 @@
 
 void StoreFollower::ReportChanges(const std::vector<StoreItem>& changes,
                                   Revision revision) {
-  for (const StoreItem& item : changes)
-    m_hooks.on_change(item);
+  // A reply that arrives twice on a reused connection must not bring back what
+  // was removed since.
+  for (const StoreItem& item : changes) {
+    if (item.revision > m_revision)
+      m_hooks.on_change(item);
+  }
   m_revision = std::max(m_revision, revision);
   m_revision_check.SetRevision(m_revision);
   m_hooks.on_caught_up(m_revision);
@@ -290,6 +298,7 @@
   } catch (const std::exception& error) {
     m_context->log->Warning("store_reply_invalid",
                             {{"call", "watch"}, {"reason", error.what()}});
+    m_client.DropConnection();
     Retry("watch", reply->status, &StoreFollower::List);
     return;
   }
