Open connections to servers ahead of the first query

Half of the objective of 80 ms was gone before anything was sent, and 95 to 146 hedges for each query of the first second used up the budget of repeats.

Change: ConnectionWarmer opens connections to the servers that an instance prefers, four each 50 ms, and again some seconds after a server has closed them; one system call less for each connection.

--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -97,6 +97,8 @@
 
   // True if a connection is idle or another one may be opened.
   bool HasConnection() const;
+  // Opens a connection ahead of the first request.
+  void WarmUp() { OpenConnection(); }
   // Starts an attempt. Requires HasConnection().
   Attempt* Send(ServerRequest request);
   // Drops interest in the reply to `attempt`. The connection is kept open for
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -45,7 +45,14 @@
 // Outstanding sub-requests of all instances at a server of an overloaded
 // service, as a multiple of its slots. Any more would queue there for longer
 // than an answer may take.
-inline constexpr double kOverloadConcurrencyFactor = 5;
+inline constexpr double kOverloadConcurrencyFactor =
+    5;  // Connections opened ahead of requests: number in each sweep of 50 ms,
+        // and the
+// interval between two to the same server, which doubles up to the maximum if
+// the server keeps closing them.
+inline constexpr size_t kWarmConnectionsPerStep = 4;
+inline constexpr Duration kMinWarmInterval = seconds(4);
+inline constexpr Duration kMaxWarmInterval = seconds(30);
 // Bounds on what a server may send, so that bytes without end cannot exhaust
 // the memory of the smallest machine (160 MB): the head of a reply, its body,
 // the messages before it that are not the reply, and the bodies that are being
--- a/src/gateway/server_connection.cc
+++ b/src/gateway/server_connection.cc
@@ -91,8 +91,11 @@
   SetWriting(false);
 }
 
-void ServerConnection::FinishConnect() {
-  if (TakeSocketError(m_socket.fd()) != 0) {
+void ServerConnection::FinishConnect(uint32_t events) {
+  // The error is only asked for if there is one, which saves a system call for
+  // each of the hundreds of connections of a query.
+  if ((events & (EPOLLERR | EPOLLHUP)) != 0 &&
+      TakeSocketError(m_socket.fd()) != 0) {
     OnStreamEnd(false);
     return;
   }
@@ -116,7 +119,7 @@
   if (!m_socket.open())
     return;
   if (!m_connected) {
-    FinishConnect();
+    FinishConnect(events);
     return;
   }
   if ((events & EPOLLOUT) != 0)
--- a/src/gateway/server_connection.h
+++ b/src/gateway/server_connection.h
@@ -78,7 +78,7 @@
   void Abort() override;
 
  private:
-  void FinishConnect();
+  void FinishConnect(uint32_t events);
   void Flush();
   void Read();
   // False if the connection is closed.
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -174,6 +174,7 @@
     return;
   found->second.server->StartDraining(m_context->loop->Now());
   found->second.service->Remove(id);
+  m_warmer.Forget(id);
   if (!found->second.server->idle())
     m_draining_servers.push_back(found->second.server);
   m_servers.erase(found);
@@ -185,6 +186,16 @@
       [](const auto& entry) { return !entry.second.server->draining(); }));
 }
 
+void ServerDirectory::WarmUp(TimePoint now) {
+  if (m_context->answer_by)
+    return;  // The instance drains.
+  std::vector<ServerId> cold;
+  for (const auto& [name, service] : m_services)
+    service->AppendCold(cold);
+  for (const ServerId& id : m_warmer.Select(cold, now))
+    m_servers.at(id).server->WarmUp();
+}
+
 void ServerDirectory::Sweep() {
   const TimePoint now = m_context->loop->Now();
   for (const auto& server : m_draining_servers)
@@ -204,6 +215,7 @@
   }
   for (const ServerId& id : expired)
     Drop(id);
+  WarmUp(now);
 }
 
 }  // namespace wasabihook::gateway
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gateway/connection_warmer.h"
 #include "gateway/gateway_context.h"
 #include "gateway/service.h"
 
@@ -65,6 +66,8 @@
   void Drop(const ServerId& id);
   Duration RemovalGrace() const;
   void Sweep();
+  // Opens connections ahead of requests, a few at a time.
+  void WarmUp(TimePoint now);
 
   GatewayContext* const m_context;
   std::map<ServiceName, std::shared_ptr<Service>> m_services;
@@ -74,6 +77,7 @@
   std::vector<std::shared_ptr<BackendServer>> m_draining_servers;
   uint32_t m_instances = 1;
   std::optional<TimePoint> m_store_reachable_at;
+  ConnectionWarmer m_warmer;
   TimerHandle m_sweep;
 };
 
--- a/src/gateway/service.cc
+++ b/src/gateway/service.cc
@@ -57,6 +57,10 @@
     // servers, which follows from its id and theirs.
     m_subset = Subset(self, share);
   }
+  // A service that no configuration names yet may be about to take over, as
+  // after a reshard. Its limit is unknown, so a single server is chosen.
+  m_warm_set =
+      m_subset.empty() && m_max_connections == 0 ? Subset(self, 0) : m_subset;
   m_overload_limits.clear();
   for (const auto& server : m_servers) {
     const ServerEntry& entry = server->entry();
@@ -88,6 +92,19 @@
   return out;
 }
 
+void Service::AppendCold(std::vector<ServerId>& out) const {
+  const TimePoint now = m_context->loop->Now();
+  for (const auto& server : m_servers) {
+    const ServerId& id = server->entry().id;
+    const bool preferred =
+        m_warm_set.empty() ||
+        std::find(m_warm_set.begin(), m_warm_set.end(), id) != m_warm_set.end();
+    if (preferred && server->connections() == 0 && !server->draining() &&
+        !server->health().down() && !server->health().misdirected(now))
+      out.push_back(id);
+  }
+}
+
 bool Service::Admit(uint32_t priority, double draw) {
   const bool was_limited = m_admission.limited();
   const bool admitted =
--- a/src/gateway/service.h
+++ b/src/gateway/service.h
@@ -53,6 +53,10 @@
   // uses if a server accepts fewer connections than there are instances.
   void UpdateShare(const InstanceId& self, uint32_t instances);
 
+  // Appends the ids of the servers that this instance prefers and has no
+  // connection to.
+  void AppendCold(std::vector<ServerId>& out) const;
+
   // Returns the server of lowest cost that has capacity and is not in
   // `excluded`, or null.
   BackendServer* Pick(std::span<BackendServer* const> excluded) const;
@@ -73,6 +77,8 @@
   // Servers that this instance prefers; empty if it uses all alike. Servers
   // outside the subset get an extra cost.
   std::vector<ServerId> m_subset;
+  // Servers to which connections are opened ahead of requests.
+  std::vector<ServerId> m_warm_set;
   // Outstanding sub-requests that each server may get from this instance while
   // the service is limited.
   std::map<ServerId, uint32_t> m_overload_limits;
