Share what instances see of servers

Change: each instance counts good and bad sub-requests for each server in a window of 2 s. The counts are merged up the tree of the change feed every 400 ms, exchanged by the roots of the data centres every 800 ms, and the outliers come back down. An outlier needs three instances and half of all observations, so no instance condemns a server with its own cut link; a good reply of the last second outweighs the fleet; what is not refreshed expires after 1.5 s. No store writes. Replica choice adds a cost below that of a stalled server.

--- a/src/gateway/backend_server.cc
+++ b/src/gateway/backend_server.cc
@@ -38,6 +38,7 @@
 BackendServer::BackendServer(GatewayContext* context, ServerEntry entry)
     : m_context(context),
       m_entry(std::move(entry)),
+      m_key(MakeServerKey(m_entry.id, m_entry.started_at_ms)),
       m_warm_up_end(context->loop->Now() + m_entry.warm_up_left) {}
 
 BackendServer::~BackendServer() {
@@ -51,6 +52,7 @@
   const bool restarted = entry.started_at_ms != m_entry.started_at_ms ||
                          entry.address != m_entry.address;
   m_entry = std::move(entry);
+  m_key = MakeServerKey(m_entry.id, m_entry.started_at_ms);
   m_warm_up_end = m_context->loop->Now() + m_entry.warm_up_left;
   m_health.OnNewEntry();
   if (!restarted)
@@ -151,6 +153,7 @@
 }
 
 void BackendServer::Abandon(Attempt* attempt, bool close_now) {
+  ObserveOverdue(attempt);
   attempt->listener = nullptr;
   attempt->abandoned_at = m_context->loop->Now();
   // Without a connection nothing was sent yet; the request is dropped.
@@ -162,6 +165,29 @@
   Remove(*connection);
 }
 
+bool BackendServer::IsSlow(const Attempt& attempt, TimePoint now) const {
+  const auto limit = Duration(static_cast<int64_t>(
+      static_cast<double>(attempt.median_latency.count()) * kSlowReplyFactor));
+  return attempt.median_latency > Duration(0) && now - attempt.sent_at > limit;
+}
+
+void BackendServer::Observe(Attempt& attempt, bool bad) {
+  if (attempt.observed)
+    return;
+  attempt.observed = true;
+  m_context->observer->Observe(m_key, bad);
+}
+
+void BackendServer::ObserveOverdue(Attempt* attempt) {
+  if (IsSlow(*attempt, m_context->loop->Now()))
+    Observe(*attempt, true);
+}
+
+bool BackendServer::IsOutlier(TimePoint now) const {
+  return now - m_last_good_reply > kOwnObservationPeriod &&
+         m_context->observer->IsOutlier(m_key);
+}
+
 void BackendServer::Detach(Attempt* attempt) {
   attempt->listener = nullptr;
   attempt->abandoned_at = std::max(attempt->deadline, m_context->loop->Now());
@@ -171,6 +197,7 @@
   ServerConnection* connection = attempt->connection;
   connection->Close();
   --m_outstanding;
+  Observe(*attempt, true);
   m_context->metrics->CountConnect(true);
   MarkUnreachable("slow_connect");
   Remove(*connection);
@@ -277,12 +304,15 @@
                                              : AttemptOutcome::kReply;
 }
 
-void BackendServer::RecordOutcome(const Attempt& attempt,
-                                  AttemptOutcome outcome) {
+void BackendServer::RecordOutcome(Attempt& attempt, AttemptOutcome outcome) {
   const TimePoint now = m_context->loop->Now();
   m_context->metrics->CountAttempt(ToString(outcome));
   if (outcome != AttemptOutcome::kNotSent && outcome != AttemptOutcome::kLost)
     MarkReachable();
+  const bool good = outcome == AttemptOutcome::kReply && !IsSlow(attempt, now);
+  if (good)
+    m_last_good_reply = now;
+  Observe(attempt, !good);
   switch (outcome) {
     case AttemptOutcome::kReply:
     case AttemptOutcome::kFailure:
--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -58,6 +58,8 @@
   // The attempt is a hedge or a retry.
   bool repeat = false;
   std::optional<TimePoint> abandoned_at;
+  // The attempt was reported to the observer.
+  bool observed = false;
 };
 
 // Parameters of BackendServer::Send().
@@ -108,6 +110,11 @@
   // Closes the connection of `attempt`, which takes too long to be established
   // and has sent nothing, and marks the server as unreachable.
   void AbortConnect(Attempt* attempt);
+  // Reports that the reply to `attempt` is overdue.
+  void ObserveOverdue(Attempt* attempt);
+  // True if other instances agree that the server is slow or fails, unless it
+  // has just answered this one well.
+  bool IsOutlier(TimePoint now) const;
   // Drops interest in the reply to `attempt`, but lets the request run until
   // its deadline.
   void Detach(Attempt* attempt);
@@ -145,7 +152,9 @@
   Slot* FindSlot(const ServerConnection& connection);
   void Remove(const ServerConnection& connection);
   AttemptOutcome Classify(WireOutcome outcome, MessageParser& reply) const;
-  void RecordOutcome(const Attempt& attempt, AttemptOutcome outcome);
+  void RecordOutcome(Attempt& attempt, AttemptOutcome outcome);
+  void Observe(Attempt& attempt, bool bad);
+  bool IsSlow(const Attempt& attempt, TimePoint now) const;
   void RecordMisdirected(TimePoint now);
   // Update the reachability of the server and log each transition.
   void MarkUnreachable(const char* why);
@@ -153,6 +162,8 @@
 
   GatewayContext* const m_context;
   ServerEntry m_entry;
+  ServerKey m_key;
+  TimePoint m_last_good_reply;
   ServerHealth m_health;
   std::vector<Slot> m_slots;
   uint32_t m_connection_limit = 1;
--- a/src/gateway/change_feed.cc
+++ b/src/gateway/change_feed.cc
@@ -132,6 +132,8 @@
     responder.Respond({.status = kOk, .body = EncodeFeedReply(CurrentState())});
     return;
   }
+  if (m_call_handler && m_call_handler(request, responder))
+    return;
   const bool known = target.starts_with(kChangesTarget);
   if (!known || std::from_chars(target.data() + kChangesTarget.size(),
                                 target.data() + target.size(), after)
--- a/src/gateway/change_feed.h
+++ b/src/gateway/change_feed.h
@@ -49,6 +49,12 @@
   ChangeFeed& operator=(const ChangeFeed&) = delete;
 
   const std::string& address() const { return m_listener.address(); }
+  // Handles the calls that do not concern changes. Returns false if it does not
+  // know the call.
+  using CallHandler = std::function<bool(const InboundRequest&, Responder&)>;
+  void SetCallHandler(CallHandler handler) {
+    m_call_handler = std::move(handler);
+  }
   // Clears the history, which starts again at `revision`.
   void Reset(Revision revision);
   // Appends a change to the history. Publish() sends it.
@@ -77,6 +83,7 @@
   void RespondToExpired();
 
   EventLoop* const m_loop;
+  CallHandler m_call_handler;
   bool m_store_reachable = false;
   bool m_direct = false;
   Revision m_history_start;
--- a/src/gateway/exchange_parts.cc
+++ b/src/gateway/exchange_parts.cc
@@ -193,6 +193,8 @@
 }
 
 void Exchange::HedgePart(Part& part) {
+  for (Attempt* attempt : part.outstanding)
+    attempt->server->ObserveOverdue(attempt);
   // Under overload, a hedge would take capacity from other requests.
   if (part.service->limited())
     return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -68,10 +68,12 @@
                 .metrics = &m_metrics,
                 .log = &m_log,
                 .reply_bytes = &m_reply_bytes,
+                .observer = &m_observations,
                 .random = std::move(random)},
+      m_feed_selector(m_settings.instance, m_settings.data_centre),
+      m_observations(&m_context, &m_feed_selector),
       m_directory(&m_context),
       m_route_table_builder(&m_directory),
-      m_feed_selector(m_settings.instance, m_settings.data_centre),
       m_caller_listener(loop,
                         m_settings.caller_address,
                         [this](InboundRequest request, Responder& responder) {
@@ -120,6 +122,11 @@
   }
   if (!m_settings.feed_address.empty())
     m_change_feed = std::make_unique<ChangeFeed>(loop, m_settings.feed_address);
+  if (m_change_feed != nullptr)
+    m_change_feed->SetCallHandler(
+        [this](const InboundRequest& request, Responder& responder) {
+          return OnInstanceCall(request, responder);
+        });
   m_log.Info("started", {{"instance", m_settings.instance.value()},
                          {"data_centre", m_settings.data_centre.value()},
                          {"caller_address", m_settings.caller_address},
@@ -145,6 +152,21 @@
   responder.Respond({.status = ready() ? kOk : kUnavailable});
 }
 
+bool Gateway::OnInstanceCall(const InboundRequest& request,
+                             Responder& responder) {
+  if (!IsObservationCall(request.target))
+    return false;
+  try {
+    responder.Respond(
+        {.body = m_observations.OnCall(request.target, request.body)});
+  } catch (const std::exception& error) {
+    m_log.Warning("observations_invalid",
+                  {{"target", request.target}, {"reason", error.what()}});
+    responder.Respond({.status = kBadRequest});
+  }
+  return true;
+}
+
 void Gateway::OnMetrics(const InboundRequest& /*request*/,
                         Responder& responder) {
   UpdateGauges();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/feed_selector.h"
 #include "gateway/gateway_context.h"
 #include "gateway/instance_registration.h"
+#include "gateway/observation_exchange.h"
 #include "gateway/route_table.h"
 #include "gateway/server_directory.h"
 #include "gateway/store_follower.h"
@@ -53,6 +54,7 @@
  private:
   void OnRequest(InboundRequest request, Responder& responder);
   void OnReadiness(const InboundRequest& request, Responder& responder);
+  bool OnInstanceCall(const InboundRequest& request, Responder& responder);
   void OnMetrics(const InboundRequest& request, Responder& responder);
   void Refuse(Responder& responder, const char* retry_after_s);
 
@@ -79,10 +81,11 @@
   GatewayLog m_log;
   BufferedBytes m_reply_bytes;
   GatewayContext m_context;
+  FeedSelector m_feed_selector;
+  ObservationExchange m_observations;
   ServerDirectory m_directory;
   RouteTableBuilder m_route_table_builder;
   RouteTablePtr m_routes;
-  FeedSelector m_feed_selector;
   std::unique_ptr<ChangeFeed> m_change_feed;
   std::unordered_map<Exchange*, std::unique_ptr<Exchange>> m_exchanges;
   std::vector<std::unique_ptr<Exchange>> m_finished_exchanges;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/http_message.h"
 #include "gateway/platform_adapter.h"
+#include "gateway/server_observations.h"
 #include "wasabihook/random_source.h"
 
 namespace wasabihook::gateway {
@@ -24,6 +25,7 @@
   GatewayLog* log = nullptr;
   // Bytes of the replies that are being received from backend servers.
   BufferedBytes* reply_bytes = nullptr;
+  ServerObserver* observer = nullptr;
   // While the instance drains: time by which every request must be answered.
   std::optional<TimePoint> answer_by{};
   RandomSource random;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -117,6 +117,29 @@
 // the pending removals. Expired leases are the assumed cause.
 inline constexpr double kMassRemovalShare = 0.25;
 
+// --- Observations shared between instances ---
+// Sliding window of an instance's observations, period of their exchange within
+// a data centre, and time after which what was received is dropped. Roots of
+// data centres exchange every few periods, since that traffic is charged.
+inline constexpr Duration kObservationWindow = seconds(2);
+inline constexpr Duration kObservationPeriod = milliseconds(400);
+inline constexpr uint64_t kRootObservationPeriods = 2;
+inline constexpr Duration kObservationExpiry = milliseconds(1500);
+// Observations of one server that one instance contributes at most.
+inline constexpr uint16_t kMaxObservationsPerInstance = 8;
+// A server is an outlier if this many instances saw it slow or failing, in this
+// many observations, which are this share of all.
+inline constexpr uint8_t kMinOutlierVoters = 3;
+inline constexpr uint16_t kMinOutlierObservations = 4;
+inline constexpr double kOutlierShare = 0.5;
+// A reply is slow if it took this multiple of the route's median latency.
+inline constexpr double kSlowReplyFactor = 2.0;
+// Cost added for an outlier: above that of a server outside the subset, below
+// that of a stalled one.
+inline constexpr double kOutlierCost = 10.0;
+// Time for which a good reply to this instance outweighs the fleet's view.
+inline constexpr Duration kOwnObservationPeriod = seconds(1);
+
 // --- Hedging ---
 // A part is hedged after this quantile of the recent part latencies, times the
 // factor.
--- /dev/null
+++ b/src/gateway/observation_exchange.h
@@ -0,0 +1,63 @@
+#ifndef SRC_GATEWAY_OBSERVATION_EXCHANGE_H_
+#define SRC_GATEWAY_OBSERVATION_EXCHANGE_H_
+
+// PRIVATE HEADER. Exchanges observations of servers with other instances.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "gateway/feed_selector.h"
+#include "gateway/gateway_context.h"
+#include "gateway/server_observations.h"
+#include "gateway/store_client.h"
+
+namespace wasabihook::gateway {
+
+// Periodically sends the observations of this instance's subtree to the
+// instance whose changes it follows, or, at the root of a data centre, to the
+// roots of the others. Nothing depends on the exchange but the choice of
+// servers.
+class ObservationExchange : public ServerObserver {
+ public:
+  ObservationExchange(GatewayContext* context, FeedSelector* selector);
+  ~ObservationExchange() override;
+  ObservationExchange(const ObservationExchange&) = delete;
+  ObservationExchange& operator=(const ObservationExchange&) = delete;
+
+  void Observe(ServerKey server, bool bad) override;
+  bool IsOutlier(ServerKey server) const override {
+    return m_outliers.contains(server);
+  }
+
+  // Handles the call of another instance; returns the body of the reply.
+  // Throws std::runtime_error if the call is malformed.
+  std::string OnCall(std::string_view target, std::string_view body);
+
+ private:
+  struct Peer {
+    std::unique_ptr<StoreClient> client;
+    TimePoint used_at;
+  };
+
+  void Exchange();
+  void Send(const std::string& address, bool root, const std::string& body);
+  void UpdateOutliers();
+
+  GatewayContext* const m_context;
+  FeedSelector* const m_selector;
+  FleetObservations m_fleet;
+  ObservationDigest m_outliers;
+  bool m_root = true;
+  uint64_t m_periods = 0;
+  std::map<std::string, Peer> m_peers;
+  TimerHandle m_timer;
+};
+
+// True if the target of a call between instances is one of this exchange.
+bool IsObservationCall(std::string_view target);
+
+}  // namespace wasabihook::gateway
+
+#endif  // SRC_GATEWAY_OBSERVATION_EXCHANGE_H_
--- a/src/gateway/service.cc
+++ b/src/gateway/service.cc
@@ -160,6 +160,8 @@
   if (!m_subset.empty() && std::find(m_subset.begin(), m_subset.end(),
                                      server.entry().id) == m_subset.end())
     cost += kOutsideSubsetCost;
+  if (server.IsOutlier(now))
+    cost += kOutlierCost;
   return cost;
 }
 
