Merge the observations of a root once in each period

Cause: a root merged all digests again for each of the five replies of the other roots. Change: once in each period; the new replies are used then. Tests: 31 of 31 of the gateway, 7 of the observations.

--- a/src/gateway/observation_exchange.cc
+++ b/src/gateway/observation_exchange.cc
@@ -80,7 +80,9 @@
               {{"address", address}, {"reason", error.what()}});
           return;
         }
-        UpdateOutliers();
+        // A root merges all digests, which it does once in each period.
+        if (!root)
+          UpdateOutliers();
       });
 }
 
