Open connections ahead only once the number of instances is settled

At the first start, connections were opened for the share of a single instance.

Change: nothing is opened ahead until the number of instances has not changed for 2 s; a connection opened ahead that fails says nothing about its server; intervals 8 to 60 s. ConnectsToServersAheadOfRequests.

--- a/src/gateway/backend_server.cc
+++ b/src/gateway/backend_server.cc
@@ -145,6 +145,7 @@
       .repeat = request.repeat,
       .abandoned_at = std::nullopt,
   });
+  slot->warm_up = false;
   ++m_outstanding;
   slot->connection->Send(std::move(request.bytes),
                          std::move(request.request_id), request.head_only,
@@ -395,6 +396,12 @@
 }
 
 void BackendServer::OnClosed(ServerConnection& connection, bool failed) {
+  // A server at its limit of connections resets further ones, but it still
+  // answers on those that it has. Without a request that says little.
+  if (const Slot* slot = FindSlot(connection); slot && slot->warm_up) {
+    Remove(connection);
+    return;
+  }
   if (failed && connection.connected()) {
     m_health.OnBrokenConnection();
   } else if (failed) {
--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -100,7 +100,7 @@
   // True if a connection is idle or another one may be opened.
   bool HasConnection() const;
   // Opens a connection ahead of the first request.
-  void WarmUp() { OpenConnection(); }
+  void WarmUp() { OpenConnection().warm_up = true; }
   // Starts an attempt. Requires HasConnection().
   Attempt* Send(ServerRequest request);
   // Drops interest in the reply to `attempt`. The connection is kept open for
@@ -141,6 +141,8 @@
   struct Slot {
     std::unique_ptr<ServerConnection> connection;
     std::unique_ptr<Attempt> attempt;
+    // Opened ahead of requests and not used yet.
+    bool warm_up = false;
   };
 
   void CloseTimedOut(TimePoint now);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -45,14 +45,18 @@
 // Outstanding sub-requests of all instances at a server of an overloaded
 // service, as a multiple of its slots. Any more would queue there for longer
 // than an answer may take.
-inline constexpr double kOverloadConcurrencyFactor =
-    5;  // Connections opened ahead of requests: number in each sweep of 50 ms,
-        // and the
+inline constexpr double kOverloadConcurrencyFactor = 5;
+
+// Connections opened ahead of requests: number in each sweep of 50 ms, and the
 // interval between two to the same server, which doubles up to the maximum if
 // the server keeps closing them.
 inline constexpr size_t kWarmConnectionsPerStep = 4;
-inline constexpr Duration kMinWarmInterval = seconds(4);
-inline constexpr Duration kMaxWarmInterval = seconds(30);
+inline constexpr Duration kMinWarmInterval = seconds(8);
+inline constexpr Duration kMaxWarmInterval = seconds(60);
+// Time for which the number of instances must not have changed before
+// connections are opened ahead: the share of a server's connections follows
+// from it, and instances that start together find each other within a second.
+inline constexpr Duration kWarmUpDelay = seconds(2);
 // Bounds on what a server may send, so that bytes without end cannot exhaust
 // the memory of the smallest machine (160 MB): the head of a reply, its body,
 // the messages before it that are not the reply, and the bodies that are being
@@ -118,13 +122,11 @@
 inline constexpr double kMassRemovalShare = 0.25;
 
 // --- Observations shared between instances ---
-// Sliding window of an instance's observations, period of their exchange within
-// a data centre, and time after which what was received is dropped. Roots of
-// data centres exchange every few periods, since that traffic is charged.
+// Sliding window of an instance's observations, period of their exchange, and
+// time after which what was received is dropped.
 inline constexpr Duration kObservationWindow = seconds(2);
-inline constexpr Duration kObservationPeriod = milliseconds(400);
-inline constexpr uint64_t kRootObservationPeriods = 2;
-inline constexpr Duration kObservationExpiry = milliseconds(1500);
+inline constexpr Duration kObservationPeriod = milliseconds(600);
+inline constexpr Duration kObservationExpiry = milliseconds(2000);
 // Observations of one server that one instance contributes at most.
 inline constexpr uint16_t kMaxObservationsPerInstance = 8;
 // A server is an outlier if this many instances saw it slow or failing, in this
--- a/src/gateway/observation_exchange.cc
+++ b/src/gateway/observation_exchange.cc
@@ -41,7 +41,7 @@
   m_root = source.is_store() || source.direct_only;
   if (!m_root) {
     Send(source.address, false, EncodeObservations(m_fleet.Subtree(now)));
-  } else if (++m_periods % kRootObservationPeriods == 0) {
+  } else {
     // Each root asks all others, so nothing needs to be sent along.
     for (const std::string& address : m_selector->RemoteFeeds(now))
       Send(address, true, "");
--- a/src/gateway/observation_exchange.h
+++ b/src/gateway/observation_exchange.h
@@ -50,7 +50,6 @@
   FleetObservations m_fleet;
   ObservationDigest m_outliers;
   bool m_root = true;
-  uint64_t m_periods = 0;
   std::map<std::string, Peer> m_peers;
   TimerHandle m_timer;
 };
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -17,6 +17,7 @@
 
 ServerDirectory::ServerDirectory(GatewayContext* context)
     : m_context(context),
+      m_instances_changed_at(context->loop->Now()),
       m_sweep(
           context->loop->SubscribeEvery(kSweepPeriod, [this] { Sweep(); })) {}
 
@@ -53,6 +54,7 @@
   m_context->log->Info("instances_changed",
                        {{"from", m_instances}, {"to", instances}});
   m_instances = instances;
+  m_instances_changed_at = m_context->loop->Now();
   UpdateServiceShares();
 }
 
@@ -187,8 +189,8 @@
 }
 
 void ServerDirectory::WarmUp(TimePoint now) {
-  if (m_context->answer_by)
-    return;  // The instance drains.
+  if (m_context->answer_by || now - m_instances_changed_at < kWarmUpDelay)
+    return;
   std::vector<ServerId> cold;
   for (const auto& [name, service] : m_services)
     service->AppendCold(cold);
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -76,6 +76,7 @@
   // Dropped servers with outstanding requests.
   std::vector<std::shared_ptr<BackendServer>> m_draining_servers;
   uint32_t m_instances = 1;
+  TimePoint m_instances_changed_at;
   std::optional<TimePoint> m_store_reachable_at;
   ConnectionWarmer m_warmer;
   TimerHandle m_sweep;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -15,6 +15,7 @@
 
 #include "platform/platform.h"
 #include "platform/testing/fakes.h"
+#include "platform/testing/scripted_server.h"
 #include "runtime/socket_address.h"
 
 namespace wasabihook::gateway {
@@ -289,6 +290,25 @@
   close(listener);
 }
 
+// Guards against connections that are opened while the number of instances is
+// not yet known, and against a first query that has to open all its own.
+TEST_F(GatewayTest, ConnectsToServersAheadOfRequests) {
+  testing::ScriptedServer server(&m_loop,
+                                 [](testing::ScriptedConnection& /*connection*/,
+                                    const std::string& /*request_id*/) {});
+  json entry = json::parse(Server("w1").Entry("writes"));
+  entry["address"] = server.address();
+  m_store.Put("servers/w1", entry.dump());
+  Start();
+  RunUntil(
+      m_loop, [] { return false; }, kWarmUpDelay - milliseconds(500));
+  EXPECT_EQ(server.open_connections(), 0U);
+  EXPECT_TRUE(RunUntil(
+      m_loop, [&server] { return server.open_connections() == 1; },
+      seconds(3)));
+  EXPECT_EQ(server.requests(), 0U);
+}
+
 // --- Callers ---
 
 // Guards against hedges that continue, or are sent, after the caller has
--- a/tests/gateway/observations_test.cc
+++ b/tests/gateway/observations_test.cc
@@ -39,10 +39,10 @@
   // Sub-requests of the whole fleet in a step, spread over all servers.
   static constexpr uint32_t kSubRequests = 240;
 
-  ThinTrafficTest() : m_fleet(kDataCentres * kInstances) {}
+  ThinTrafficTest() : m_fleet(size_t{kDataCentres} * kInstances) {}
 
   FleetObservations& Instance(uint32_t data_centre, uint32_t index) {
-    return m_fleet.at(data_centre * kInstances + index);
+    return m_fleet.at(size_t{data_centre} * kInstances + index);
   }
 
   // Sends the traffic of one step and exchanges observations once.
@@ -137,8 +137,9 @@
   FleetObservations instance;
   instance.SetOutliers({{Key(1), {.total = 9, .bad = 9, .voters = 5}}},
                        At(seconds(0)));
-  EXPECT_TRUE(instance.Outliers(false, At(seconds(1))).contains(Key(1)));
-  EXPECT_TRUE(instance.Outliers(false, At(seconds(2))).empty());
+  EXPECT_TRUE(
+      instance.Outliers(false, At(kObservationExpiry / 2)).contains(Key(1)));
+  EXPECT_TRUE(instance.Outliers(false, At(kObservationExpiry * 2)).empty());
 }
 
 // Guards against one busy instance that outweighs the others.
