Keep the count of reply bytes alive for the connections closed last

Cause: the event loop destroys retired connections after the gateway, and each releases its bytes in a count that the gateway owned: a use after free at the end of the process, which ASan reports in every test of the gateway.

Change: the count is shared.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -79,7 +79,6 @@
   const std::unique_ptr<StoreCodec> m_store_codec;
   GatewayMetrics m_metrics;
   GatewayLog m_log;
-  BufferedBytes m_reply_bytes;
   GatewayContext m_context;
   FeedSelector m_feed_selector;
   ObservationExchange m_observations;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -3,6 +3,7 @@
 
 // PRIVATE HEADER. Objects shared by the components of one gateway.
 
+#include <memory>
 #include <optional>
 
 #include "gateway/event_loop.h"
@@ -24,7 +25,8 @@
   GatewayMetrics* metrics = nullptr;
   GatewayLog* log = nullptr;
   // Bytes of the replies that are being received from backend servers.
-  BufferedBytes* reply_bytes = nullptr;
+  // Shared with the connections, some of which the loop destroys last.
+  std::shared_ptr<BufferedBytes> reply_bytes{};
   ServerObserver* observer = nullptr;
   // While the instance drains: time by which every request must be answered.
   std::optional<TimePoint> answer_by{};
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,7 +67,7 @@
   // Bound on the bodies that are being received on all connections that share
   // `buffered`, which may be null.
   size_t max_buffered_bytes = std::numeric_limits<size_t>::max();
-  BufferedBytes* buffered = nullptr;
+  std::shared_ptr<BufferedBytes> buffered{};
 };
 
 // Incremental parser. Stops at the end of each message and leaves the bytes
