Keep verdicts of the quarantine when the store loses their keys

Callers would see: a request that crashes servers reaches them again after the store came back from an older copy, or revoked leases, and the instance that had reached the verdict was gone: three more servers for each instance.

Cause: a verdict was in force elsewhere only as long as its key, and only the instance that had reached it wrote it again. Likewise a release that was lost with the store's last seconds: the record from before it counted again.

Change: the record carries its wall-clock end. All instances keep what they know until then and write it again when the key is gone; a release outlasts records of verdicts that it covers.

Why it works: the belief no longer depends on the store, which only carries it to instances that start.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -344,30 +344,37 @@
   }
   if (item.removed) {
     m_listed_quarantine.erase(*fingerprint);
-    if (!m_quarantine_publisher.OnRemoved(*fingerprint))
+    const bool holds = m_quarantine_publisher.OnRemoved(*fingerprint);
+    m_metrics.CountQuarantine(holds ? "rewritten" : "ended");
+    m_log.Info("quarantine_unlisted", {{"fingerprint", ToHex(*fingerprint)},
+                                       {"holds", holds},
+                                       {"revision", item.revision.value()}});
+    if (!holds)
       m_quarantine.Remove(*fingerprint);
     return;
   }
-  bool released = false;
+  QuarantineRecord record;
   try {
-    released = DecodeQuarantine(item.value).released;
+    record = DecodeQuarantine(item.value);
   } catch (const std::exception& error) {
     m_log.Warning("quarantine_entry_invalid",
                   {{"key", item.key}, {"reason", error.what()}});
     return;
   }
-  m_quarantine_publisher.OnListed(*fingerprint);
-  if (released) {
-    m_quarantine_publisher.OnReleased(*fingerprint);
+  const std::optional<Duration> left =
+      m_quarantine_publisher.OnListed(*fingerprint, record);
+  if (record.released)
     m_quarantine.Release(*fingerprint, m_loop->Now());
-  } else {
-    m_quarantine.Add(*fingerprint, m_loop->Now() + config::kQuarantineExpiry);
-  }
-  if (m_listed_quarantine.insert(*fingerprint).second || released) {
-    m_metrics.CountQuarantine(released ? "released" : "listed");
-    m_log.Info("quarantine_listed", {{"fingerprint", ToHex(*fingerprint)},
-                                     {"released", released},
-                                     {"revision", item.revision.value()}});
+  else if (left)
+    m_quarantine.Add(*fingerprint, m_loop->Now() + *left);
+  if (m_listed_quarantine.insert(*fingerprint).second || record.released) {
+    m_metrics.CountQuarantine(record.released ? "released" : "listed");
+    m_log.Info("quarantine_listed",
+               {{"fingerprint", ToHex(*fingerprint)},
+                {"released", record.released},
+                {"in_force", left && !record.released},
+                {"left_ms", left.value_or(Duration(0)).count() / 1000},
+                {"revision", item.revision.value()}});
   }
 }
 
--- a/src/gateway/quarantine_publisher.cc
+++ b/src/gateway/quarantine_publisher.cc
@@ -15,16 +15,24 @@
 constexpr Duration kMaxBackoff = std::chrono::seconds(8);
 // A quarantine with less time left is not written any more.
 constexpr Duration kMinTimeLeft = std::chrono::seconds(5);
+// A verdict that ends this much later than a released one is another one.
+// Covers clocks that jump by seconds.
+constexpr Duration kReleaseMargin = std::chrono::seconds(30);
 
 }  // namespace
 
 std::string EncodeQuarantine(const QuarantineRecord& record) {
-  return nlohmann::json{{"released", record.released}}.dump();
+  return nlohmann::json{
+      {"released", record.released},
+      {"expires_at_ms", record.expires.since_unix_epoch.count()}}
+      .dump();
 }
 
 QuarantineRecord DecodeQuarantine(std::string_view value) {
   const nlohmann::json in = nlohmann::json::parse(value);
-  return {.released = in.value("released", false)};
+  return {.released = in.value("released", false),
+          .expires = WallTime{std::chrono::milliseconds(
+              in.value("expires_at_ms", int64_t{0}))}};
 }
 
 QuarantinePublisher::QuarantinePublisher(GatewayContext* context,
@@ -38,45 +46,73 @@
   m_context->loop->Unsubscribe(m_timer);
 }
 
+void QuarantinePublisher::WriteSoon(Entry& entry) {
+  entry.due = m_context->loop->Now() +
+              Duration(static_cast<int64_t>(
+                  m_context->Uniform() *
+                  static_cast<double>(kQuarantinePublishJitter.count())));
+}
+
 void QuarantinePublisher::Publish(Fingerprint fingerprint, TimePoint expires) {
-  m_own[fingerprint] = {
-      .expires = expires,
-      .due = m_context->loop->Now() +
-             Duration(static_cast<int64_t>(
-                 m_context->Uniform() *
-                 static_cast<double>(kQuarantinePublishJitter.count())))};
+  Entry& entry = m_known[fingerprint];
+  entry = {.expires = expires};
+  WriteSoon(entry);
 }
 
-void QuarantinePublisher::OnListed(Fingerprint fingerprint) {
-  if (const auto found = m_own.find(fingerprint); found != m_own.end())
-    found->second.due.reset();
+std::optional<Duration> QuarantinePublisher::OnListed(
+    Fingerprint fingerprint,
+    const QuarantineRecord& record) {
+  const TimePoint now = m_context->loop->Now();
+  Duration left = config::kQuarantineExpiry;
+  if (record.expires > WallTime())
+    left = std::min<Duration>(left,
+                              record.expires.since_unix_epoch -
+                                  m_context->loop->WallNow().since_unix_epoch);
+  const auto known = m_known.find(fingerprint);
+  if (record.released) {
+    // The verdict that it releases may come back with an older copy of the
+    // store.
+    if (known == m_known.end())
+      m_known[fingerprint] = {.expires = now + left, .released = true};
+    else
+      known->second = {.expires = known->second.expires, .released = true};
+    return left;
+  }
+  if (left < kMinTimeLeft)
+    return std::nullopt;
+  if (known != m_known.end() && known->second.released &&
+      now + left <= known->second.expires + kReleaseMargin) {
+    WriteSoon(known->second);
+    return std::nullopt;
+  }
+  m_known[fingerprint] = {.expires = now + left};
+  return left;
 }
 
 bool QuarantinePublisher::OnRemoved(Fingerprint fingerprint) {
-  const auto found = m_own.find(fingerprint);
-  if (found == m_own.end())
+  const auto found = m_known.find(fingerprint);
+  if (found == m_known.end())
     return false;
-  const TimePoint expires = found->second.expires;
-  if (expires - m_context->loop->Now() < kMinTimeLeft) {
-    m_own.erase(found);
+  if (found->second.expires - m_context->loop->Now() < kMinTimeLeft) {
+    m_known.erase(found);
     return false;
   }
-  Publish(fingerprint, expires);
+  WriteSoon(found->second);
   return true;
 }
 
 void QuarantinePublisher::Step() {
   const TimePoint now = m_context->loop->Now();
-  std::erase_if(m_own, [now](const auto& entry) {
+  std::erase_if(m_known, [now](const auto& entry) {
     return entry.second.expires - now < kMinTimeLeft;
   });
   if (m_client.busy() || now < m_retry_at)
     return;
   const auto next =
-      std::find_if(m_own.begin(), m_own.end(), [now](const auto& entry) {
+      std::find_if(m_known.begin(), m_known.end(), [now](const auto& entry) {
         return entry.second.due && *entry.second.due <= now;
       });
-  if (next == m_own.end())
+  if (next == m_known.end())
     return;
   const Fingerprint fingerprint = next->first;
   m_client.Call(m_codec->GrantLease(next->second.expires - now),
@@ -101,7 +137,15 @@
 void QuarantinePublisher::Put(Fingerprint fingerprint, uint64_t lease) {
   const std::string key =
       m_context->platform->quarantine_prefix + ToHex(fingerprint);
-  m_client.Call(m_codec->Put(key, EncodeQuarantine({}), lease),
+  const auto known = m_known.find(fingerprint);
+  if (known == m_known.end())
+    return;
+  const QuarantineRecord record = {
+      .released = known->second.released,
+      .expires = m_context->loop->WallNow() +
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                     known->second.expires - m_context->loop->Now())};
+  m_client.Call(m_codec->Put(key, EncodeQuarantine(record), lease),
                 kStoreCallTimeout,
                 [this, fingerprint](const std::optional<StoreReply>& reply) {
                   if (!reply || reply->status != kOk) {
@@ -110,7 +154,11 @@
                   }
                   m_context->metrics->CountStoreCall("put", "ok");
                   m_backoff = Duration(0);
-                  OnListed(fingerprint);
+                  if (const auto written = m_known.find(fingerprint);
+                      written != m_known.end())
+                    written->second.due.reset();
+                  m_context->log->Info("quarantine_recorded",
+                                       {{"fingerprint", ToHex(fingerprint)}});
                 });
 }
 
--- a/src/gateway/quarantine_publisher.h
+++ b/src/gateway/quarantine_publisher.h
@@ -19,6 +19,9 @@
 // by writing the value with `released` set.
 struct QuarantineRecord {
   bool released = false;
+  // Wall-clock time, so that it holds for instances that start later; 0 if
+  // unknown.
+  WallTime expires{};
 };
 
 // Encoded as JSON. DecodeQuarantine throws an exception derived from
@@ -26,10 +29,12 @@
 std::string EncodeQuarantine(const QuarantineRecord& record);
 QuarantineRecord DecodeQuarantine(std::string_view value);
 
-// Writes each verdict under a key with a lease that ends with the quarantine.
-// So instances that start later know it, also after all have stopped. Several
-// instances may reach a verdict at once: each waits for a random time, and the
-// first write makes the others needless.
+// Keeps the verdicts in the store, each under a key with a lease that ends with
+// the quarantine. So instances that start later know it, also after all have
+// stopped. The store may revoke leases and may come back from an older copy, so
+// every instance that knows a verdict or a release writes it again when it is
+// gone. Each waits for a random time, and the first write makes the others
+// needless.
 class QuarantinePublisher {
  public:
   QuarantinePublisher(GatewayContext* context, const StoreCodec* codec);
@@ -37,22 +42,25 @@
   QuarantinePublisher(const QuarantinePublisher&) = delete;
   QuarantinePublisher& operator=(const QuarantinePublisher&) = delete;
 
+  // This instance reached the verdict.
   void Publish(Fingerprint fingerprint, TimePoint expires);
-  // The store has the key.
-  void OnListed(Fingerprint fingerprint);
-  // The store no longer has the key. Publishes it again if this instance
-  // reached the verdict and it has not expired: the store may revoke leases.
-  // Returns whether it does.
+  // The store has the key. Returns the time left for the request, or nullopt if
+  // the record has expired or is older than a release that is known here.
+  std::optional<Duration> OnListed(Fingerprint fingerprint,
+                                   const QuarantineRecord& record);
+  // The store no longer has the key. Returns whether the record holds and is
+  // written again.
   bool OnRemoved(Fingerprint fingerprint);
-  void OnReleased(Fingerprint fingerprint) { m_own.erase(fingerprint); }
 
  private:
   struct Entry {
     TimePoint expires;
+    bool released = false;
     // Time of the next write; empty once the store has the key.
-    std::optional<TimePoint> due;
+    std::optional<TimePoint> due{};
   };
 
+  void WriteSoon(Entry& entry);
   void Step();
   void Put(Fingerprint fingerprint, uint64_t lease);
   void Retry(const char* call, int status);
@@ -60,8 +68,8 @@
   GatewayContext* const m_context;
   const StoreCodec* const m_codec;
   StoreClient m_client;
-  // Verdicts that this instance reached.
-  std::map<Fingerprint, Entry> m_own;
+  // Verdicts and releases that are known here.
+  std::map<Fingerprint, Entry> m_known;
   Duration m_backoff{0};
   TimePoint m_retry_at;
   TimerHandle m_timer;
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -277,6 +277,39 @@
   EXPECT_EQ(crashes(), before);
 }
 
+// Guards against a verdict that goes with its key because the instance that
+// reached it has stopped: the store came back from a copy without it.
+TEST_F(CrashingRequestTest,
+       IsKnownAfterItsKeyAndTheInstanceThatWroteItAreGone) {
+  Quarantine();
+  const size_t before = crashes();
+  for (size_t i = 0; i < kInstances; ++i)
+    StartInstance(i);
+  m_store.Remove(StoreKey());
+  Wait(milliseconds(100));
+  for (size_t i = 0; i < kInstances; ++i)
+    EXPECT_EQ(Request(i, kCrashTarget), 503);
+  Wait(milliseconds(1500));
+  EXPECT_TRUE(IsRecorded());
+  EXPECT_EQ(crashes(), before);
+}
+
+// Guards against a release that is lost with the store's last seconds: the
+// record from before it comes back.
+TEST_F(CrashingRequestTest, ReleaseOutlastsAnOlderRecord) {
+  Quarantine();
+  const std::string record = m_store.Value(StoreKey());
+  for (RunningServer& entry : m_servers)
+    entry.server->ClearCrashTargets();
+  m_store.Put(StoreKey(), EncodeQuarantine({.released = true}));
+  Wait(milliseconds(1500));
+  m_store.Put(StoreKey(), record);
+  Wait(milliseconds(1500));
+  EXPECT_TRUE(DecodeQuarantine(m_store.Value(StoreKey())).released);
+  for (size_t i = 0; i < kInstances; ++i)
+    EXPECT_EQ(Request(i, kCrashTarget), 200) << i;
+}
+
 // Guards against a quarantine that operators cannot end, for example after the
 // servers were repaired.
 TEST_F(CrashingRequestTest, OperatorReleasesARequest) {
