Follow the era of the store, so that given out revisions are not dropped

Cause: revisions of the restored store were compared with those from before. Likewise a watch that is opened after as many changes as were lost goes on without a gap showing.

Change: positions are an era (Store-Era) and a revision, in the follower, the feeds between instances, listings, the check for stalled watches and the directory of servers. A reply of a later era makes an instance read all keys; one of an earlier era is late and is dropped; pages of two eras are read again. Each instance registers again at once with a new lease; a lease of another era is not renewed, since its number may belong to somebody else. Removals get the grace of lapsed leases. An entry that its server has replaced since does not return, so a server that leaves is not used again. A version in force never goes back (it did not before either).

Instances of the previous version can't read the feeds of this one; during a rolling restart they read the store.

--- a/src/gateway/change_feed.cc
+++ b/src/gateway/change_feed.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -14,6 +15,8 @@
 using nlohmann::json;
 
 constexpr std::string_view kChangesTarget = "/changes?after=";
+// Between era and revision.
+constexpr char kPositionSeparator = '.';
 constexpr std::string_view kDirectOnlySuffix = "&direct_only";
 constexpr std::string_view kRevisionTarget = "/revision";
 constexpr int kOk = 200;
@@ -22,6 +25,19 @@
 // Interval between checks for held requests that are due.
 constexpr Duration kWaiterCheckPeriod = std::chrono::milliseconds(100);
 
+std::optional<StorePosition> ParsePosition(std::string_view text) {
+  uint64_t era = 0;
+  uint64_t revision = 0;
+  const char* const end = text.data() + text.size();
+  const auto first = std::from_chars(text.data(), end, era);
+  if (first.ec != std::errc() || first.ptr == end ||
+      *first.ptr != kPositionSeparator)
+    return std::nullopt;
+  if (std::from_chars(first.ptr + 1, end, revision).ec != std::errc())
+    return std::nullopt;
+  return StorePosition{.era = StoreEra(era), .revision = Revision(revision)};
+}
+
 json::binary_t ToBinary(const std::string& text) {
   return json::binary_t({text.begin(), text.end()});
 }
@@ -37,7 +53,8 @@
                        {"removed", item.removed}});
   const json out = {{"in_contact", reply.store_reachable},
                     {"direct", reply.direct},
-                    {"revision", reply.revision.value()},
+                    {"era", reply.position.era.value()},
+                    {"revision", reply.position.revision.value()},
                     {"changes", std::move(changes)}};
   const std::vector<uint8_t> bytes = json::to_msgpack(out);
   return {bytes.begin(), bytes.end()};
@@ -48,7 +65,8 @@
   FeedReply out;
   out.store_reachable = in.at("in_contact").get<bool>();
   out.direct = in.at("direct").get<bool>();
-  out.revision = Revision(in.at("revision").get<uint64_t>());
+  out.position = {.era = StoreEra(in.at("era").get<uint64_t>()),
+                  .revision = Revision(in.at("revision").get<uint64_t>())};
   for (const json& change : in.at("changes")) {
     StoreItem item;
     item.key = change.at("key").get<std::string>();
@@ -56,14 +74,16 @@
     item.value.assign(value.begin(), value.end());
     item.revision = Revision(change.at("revision").get<uint64_t>());
     item.removed = change.at("removed").get<bool>();
+    item.era = out.position.era;
     out.changes.push_back(std::move(item));
   }
   return out;
 }
 
-StoreCall MakeChangesCall(Revision revision, bool direct_only) {
+StoreCall MakeChangesCall(StorePosition position, bool direct_only) {
   std::string target(kChangesTarget);
-  target += std::to_string(revision.value());
+  target += std::to_string(position.era.value()) + kPositionSeparator +
+            std::to_string(position.revision.value());
   if (direct_only)
     target += kDirectOnlySuffix;
   return {.method = "GET", .target = std::move(target), .body = ""};
@@ -87,26 +107,26 @@
   m_loop->Unsubscribe(m_waiter_timer);
 }
 
-void ChangeFeed::Reset(Revision revision) {
+void ChangeFeed::Reset(StorePosition position) {
   m_history.clear();
   m_cached_after.reset();
-  m_history_start = revision;
-  m_revision = revision;
+  m_history_start = position;
+  m_position = position;
   RespondToAll();
 }
 
 void ChangeFeed::Add(const StoreItem& item) {
   m_history.push_back(item);
   if (m_history.size() > kFeedHistoryLength) {
-    m_history_start = m_history.front().revision;
+    m_history_start = m_history.front().position();
     m_history.pop_front();
   }
 }
 
-void ChangeFeed::Publish(Revision revision) {
-  if (revision <= m_revision)
+void ChangeFeed::Publish(StorePosition position) {
+  if (position <= m_position)
     return;
-  m_revision = revision;
+  m_position = position;
   m_cached_after.reset();
   RespondToAll();
 }
@@ -126,7 +146,6 @@
 
 void ChangeFeed::OnRequest(const InboundRequest& request,
                            Responder& responder) {
-  uint64_t after = 0;
   const std::string& target = request.target;
   if (target == kRevisionTarget) {
     responder.Respond({.status = kOk, .body = EncodeFeedReply(CurrentState())});
@@ -134,33 +153,40 @@
   }
   if (m_call_handler && m_call_handler(request, responder))
     return;
-  const bool known = target.starts_with(kChangesTarget);
-  if (!known || std::from_chars(target.data() + kChangesTarget.size(),
-                                target.data() + target.size(), after)
-                        .ec != std::errc()) {
+  const std::optional<StorePosition> after =
+      target.starts_with(kChangesTarget)
+          ? ParsePosition(
+                std::string_view(target).substr(kChangesTarget.size()))
+          : std::nullopt;
+  if (!after) {
     responder.Respond({.status = kBadRequest});
     return;
   }
   const bool refused = target.ends_with(kDirectOnlySuffix) && !m_direct;
-  if (!m_store_reachable || refused || Revision(after) < m_revision) {
-    RespondWithChanges(responder, Revision(after));
+  if (!m_store_reachable || refused || *after < m_position ||
+      after->era != m_position.era) {
+    RespondWithChanges(responder, *after);
     return;
   }
-  m_waiters[&responder] = {.after = Revision(after), .since = m_loop->Now()};
+  m_waiters[&responder] = {.after = *after, .since = m_loop->Now()};
   responder.SetDisconnectHook(
       [this, &responder] { m_waiters.erase(&responder); });
 }
 
-void ChangeFeed::RespondWithChanges(Responder& responder, Revision after) {
+void ChangeFeed::RespondWithChanges(Responder& responder, StorePosition after) {
+  if (after.era != m_position.era) {
+    responder.Respond({.status = kOk, .body = EncodeFeedReply(CurrentState())});
+    return;
+  }
   if (after < m_history_start) {
     responder.Respond({.status = kGone});
     return;
   }
   if (m_cached_after != after) {
     FeedReply reply = CurrentState();
-    reply.revision = std::max(m_revision, after);
+    reply.position = std::max(m_position, after);
     for (const StoreItem& item : m_history) {
-      if (item.revision > after)
+      if (item.position() > after)
         reply.changes.push_back(item);
     }
     m_cached_reply = EncodeFeedReply(reply);
@@ -177,7 +203,7 @@
 
 void ChangeFeed::RespondToExpired() {
   const TimePoint now = m_loop->Now();
-  std::vector<std::pair<Responder*, Revision>> due;
+  std::vector<std::pair<Responder*, StorePosition>> due;
   for (const auto& [responder, waiter] : m_waiters) {
     if (now - waiter.since >= kFeedWait)
       due.emplace_back(responder, waiter.after);
--- a/src/gateway/change_feed.h
+++ b/src/gateway/change_feed.h
@@ -24,7 +24,9 @@
   bool store_reachable = false;
   // True if the sender watches the store itself rather than another instance.
   bool direct = false;
-  Revision revision;
+  // In a reply to a request from another era there are no changes, and the era
+  // shows which of the two has to read all keys again.
+  StorePosition position{};
   std::vector<StoreItem> changes;
 };
 
@@ -32,10 +34,10 @@
 // std::exception if the body is malformed.
 std::string EncodeFeedReply(const FeedReply& reply);
 FeedReply DecodeFeedReply(std::string_view body);
-// Long poll for changes after `revision`. With `direct_only`, an instance that
+// Long poll for changes after `position`. With `direct_only`, an instance that
 // does not watch the store itself answers at once.
-StoreCall MakeChangesCall(Revision revision, bool direct_only);
-// Asks for the current revision; answered at once, without changes.
+StoreCall MakeChangesCall(StorePosition position, bool direct_only);
+// Asks for the current position; answered at once, without changes.
 StoreCall MakeRevisionCall();
 
 // Serves the changes that this instance has seen as long polls. A request is
@@ -55,28 +57,28 @@
   void SetCallHandler(CallHandler handler) {
     m_call_handler = std::move(handler);
   }
-  // Clears the history, which starts again at `revision`.
-  void Reset(Revision revision);
+  // Clears the history, which starts again at `position`.
+  void Reset(StorePosition position);
   // Appends a change to the history. Publish() sends it.
   void Add(const StoreItem& item);
-  // States that all changes up to `revision` were added, and answers the
+  // States that all changes up to `position` were added, and answers the
   // requests that are held.
-  void Publish(Revision revision);
+  void Publish(StorePosition position);
   void SetStoreReachable(bool store_reachable);
   void SetDirect(bool direct);
 
  private:
   struct Waiter {
-    Revision after;
+    StorePosition after;
     TimePoint since;
   };
 
   void OnRequest(const InboundRequest& request, Responder& responder);
-  void RespondWithChanges(Responder& responder, Revision after);
+  void RespondWithChanges(Responder& responder, StorePosition after);
   FeedReply CurrentState() const {
     return {.store_reachable = m_store_reachable,
             .direct = m_direct,
-            .revision = m_revision,
+            .position = m_position,
             .changes = {}};
   }
   void RespondToAll();
@@ -86,13 +88,13 @@
   CallHandler m_call_handler;
   bool m_store_reachable = false;
   bool m_direct = false;
-  Revision m_history_start;
-  Revision m_revision;
+  StorePosition m_history_start;
+  StorePosition m_position;
   std::deque<StoreItem> m_history;
   std::map<Responder*, Waiter> m_waiters;
-  // Encoded reply for m_cached_after, the last revision asked for. Most waiters
-  // ask for the same revision.
-  std::optional<Revision> m_cached_after;
+  // Encoded reply for m_cached_after, the last position asked for. Most waiters
+  // ask for the same position.
+  std::optional<StorePosition> m_cached_after;
   std::string m_cached_reply;
   CallerListener m_listener;
   TimerHandle m_waiter_timer;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -98,11 +98,12 @@
           m_store_codec.get(),
           &m_feed_selector,
           RearmDelay(m_settings.bounds),
-          {.on_listing = [this](
-                             const std::vector<StoreItem>& items,
-                             Revision revision) { OnListing(items, revision); },
+          {.on_listing =
+               [this](const std::vector<StoreItem>& items,
+                      StorePosition position) { OnListing(items, position); },
            .on_change = [this](const StoreItem& item) { OnChange(item); },
-           .on_caught_up = [this](Revision revision) { OnCaughtUp(revision); },
+           .on_caught_up =
+               [this](StorePosition position) { OnCaughtUp(position); },
            .on_store_unreachable =
                [this] {
                  if (m_change_feed != nullptr)
@@ -111,7 +112,7 @@
            .on_store_reachable =
                [this](Duration outage) {
                  if (outage >= kMinOutageForLeaseExpiry)
-                   m_directory.OnStoreReachable();
+                   m_directory.OnLeasesLost();
                  if (m_change_feed != nullptr)
                    m_change_feed->SetStoreReachable(true);
                },
@@ -262,7 +263,12 @@
 }
 
 void Gateway::OnListing(const std::vector<StoreItem>& items,
-                        Revision revision) {
+                        StorePosition position) {
+  const bool restored = m_has_listing && position.era > m_store_position.era;
+  m_store_position = position;
+  // Leases may have expired with the keys that the copy lacks.
+  if (restored)
+    m_directory.OnLeasesLost();
   std::vector<ServerId> servers;
   m_feed_selector.RemoveAllInstances(m_loop->Now());
   for (const StoreItem& item : items) {
@@ -270,16 +276,20 @@
       servers.push_back(m_platform.parse_server_id(item.key));
     ApplyItem(item);
   }
-  m_directory.Reconcile(servers, revision);
+  m_directory.Reconcile(servers, position);
   ReconcileQuarantine(items);
   CountInstances();
   if (m_change_feed != nullptr) {
-    m_change_feed->Reset(revision);
+    m_change_feed->Reset(position);
     m_change_feed->SetStoreReachable(true);
   }
   m_log.Info("store_listed", {{"keys", items.size()},
                               {"servers", servers.size()},
-                              {"revision", revision.value()}});
+                              {"era", position.era.value()},
+                              {"restored", restored},
+                              {"revision", position.revision.value()}});
+  if (restored)
+    m_registration.OnStoreRestored();
   if (!std::exchange(m_has_listing, true)) {
     m_observations.ExchangeSoon();
     m_registration.Start(
@@ -291,10 +301,11 @@
   }
 }
 
-void Gateway::OnCaughtUp(Revision revision) {
+void Gateway::OnCaughtUp(StorePosition position) {
+  m_store_position = position;
   CountInstances();
   if (m_change_feed != nullptr)
-    m_change_feed->Publish(revision);
+    m_change_feed->Publish(position);
 }
 
 void Gateway::OnChange(const StoreItem& item) {
@@ -418,19 +429,19 @@
 void Gateway::ApplyServer(const StoreItem& item) {
   const ServerId id = m_platform.parse_server_id(item.key);
   if (item.removed) {
-    m_directory.Remove(id, item.revision);
+    m_directory.Remove(id, item.position());
     return;
   }
   try {
     // The servers of the first listing are logged in one line, by OnListing().
-    m_directory.Apply(m_platform.decode_server(id, item.value), item.revision,
+    m_directory.Apply(m_platform.decode_server(id, item.value), item.position(),
                       m_has_listing);
   } catch (const std::exception& error) {
     m_log.Warning("server_entry_invalid", {{"server", id.value()},
                                            {"revision", item.revision.value()},
                                            {"reason", error.what()}});
     // The previous entry may be out of date, so the server is not used.
-    m_directory.Remove(id, item.revision);
+    m_directory.Remove(id, item.position());
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -62,7 +62,7 @@
   void OnMetrics(const InboundRequest& request, Responder& responder);
   void Refuse(Responder& responder, const char* retry_after_s);
 
-  void OnListing(const std::vector<StoreItem>& items, Revision revision);
+  void OnListing(const std::vector<StoreItem>& items, StorePosition position);
   void OnChange(const StoreItem& item);
   void ApplyItem(const StoreItem& item);
   void ApplyRouting(const StoreItem& item);
@@ -73,7 +73,7 @@
   // Drops quarantined requests that the store no longer lists.
   void ReconcileQuarantine(const std::vector<StoreItem>& items);
   void CountInstances();
-  void OnCaughtUp(Revision revision);
+  void OnCaughtUp(StorePosition position);
   void UpdateGauges();
 
   void CheckDrained();
@@ -102,6 +102,7 @@
   std::optional<TimerHandle> m_cleanup_timer;
   std::vector<TimerHandle> m_timers;
   bool m_has_listing = false;
+  StorePosition m_store_position;
   std::optional<TimePoint> m_drain_started;
   CallerListener m_caller_listener;
   CallerListener m_readiness_listener;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -311,6 +311,9 @@
 // Maximum random delay before an instance whose entry was revoked registers
 // again.
 inline constexpr Duration kRegistrationJitter = seconds(2);
+// Maximum random delay before the entry of an instance is written again after
+// the store was restored from an older copy.
+inline constexpr Duration kRestoredWriteJitter = milliseconds(300);
 // Delay before a restarted instance replaces the entry of its predecessor, if
 // that still exists.
 inline constexpr Duration kInstanceTakeoverRenewal = seconds(60);
--- a/src/gateway/instance_registration.cc
+++ b/src/gateway/instance_registration.cc
@@ -18,7 +18,9 @@
                                            const StoreCodec* codec)
     : m_context(context),
       m_codec(codec),
-      m_client(context->loop, context->settings->store_address) {}
+      m_client(context->loop,
+               context->settings->store_address,
+               context->platform->headers.store_era) {}
 
 InstanceRegistration::~InstanceRegistration() {
   if (m_timer)
@@ -41,6 +43,24 @@
            &InstanceRegistration::Grant);
 }
 
+void InstanceRegistration::OnStoreRestored() {
+  m_lease_era.reset();
+  Schedule(Duration(static_cast<int64_t>(
+               static_cast<double>(kRestoredWriteJitter.count()) *
+               m_context->Uniform())),
+           &InstanceRegistration::Grant);
+}
+
+bool InstanceRegistration::IsLeaseLost(const StoreReply& reply) {
+  if (reply.era == m_lease_era)
+    return false;
+  m_context->log->Warning(
+      "registration_revoked",
+      {{"lease", m_lease}, {"reason", "the store was restored"}});
+  Grant();
+  return true;
+}
+
 void InstanceRegistration::Schedule(Duration delay,
                                     void (InstanceRegistration::*step)()) {
   if (m_timer)
@@ -60,8 +80,10 @@
 }
 
 void InstanceRegistration::Grant() {
-  if (m_client.busy())
+  if (m_client.busy()) {
+    Schedule(kMinBackoff, &InstanceRegistration::Grant);
     return;
+  }
   m_client.Call(m_codec->GrantLease(kInstanceLease), kStoreCallTimeout,
                 [this](std::optional<StoreReply> reply) {
                   if (!reply || reply->status != kOk) {
@@ -71,6 +93,7 @@
                   m_context->metrics->CountStoreCall("grant", "ok");
                   try {
                     m_lease = m_codec->DecodeLease(reply->body);
+                    m_lease_era = reply->era;
                   } catch (const std::exception& error) {
                     m_context->log->Warning(
                         "store_reply_invalid",
@@ -92,6 +115,8 @@
                     Retry("put", reply ? reply->status : 0);
                     return;
                   }
+                  if (IsLeaseLost(*reply))
+                    return;
                   m_context->metrics->CountStoreCall("put", "ok");
                   m_backoff = Duration(0);
                   Schedule(kInstanceRenewal, &InstanceRegistration::Renew);
@@ -107,6 +132,8 @@
                     Retry("renew", reply ? reply->status : 0);
                     return;
                   }
+                  if (IsLeaseLost(*reply))
+                    return;
                   m_context->metrics->CountStoreCall("renew", "ok");
                   Schedule(kInstanceRenewal, &InstanceRegistration::Renew);
                 });
--- a/src/gateway/instance_registration.h
+++ b/src/gateway/instance_registration.h
@@ -29,11 +29,16 @@
   void Start(std::string value, bool already_registered);
   // The store removed the key: registers again.
   void OnEntryRemoved();
+  // The store was restored from an older copy: the key or its lease may be
+  // gone, so this instance registers again.
+  void OnStoreRestored();
 
  private:
   void Grant();
   void Put();
   void Renew();
+  // True if the lease is from another era than the reply. Registers again then.
+  bool IsLeaseLost(const StoreReply& reply);
   void Schedule(Duration delay, void (InstanceRegistration::*step)());
   void Retry(const char* call, int status);
 
@@ -42,6 +47,9 @@
   StoreClient m_client;
   std::string m_value;
   uint64_t m_lease = 0;
+  // Era of the store in which the lease was granted. A lease of an earlier era
+  // may be lost, and its number given out again.
+  std::optional<StoreEra> m_lease_era;
   Duration m_backoff{0};
   std::optional<TimerHandle> m_timer;
 };
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/store_position.h"
 #include "wasabihook/ids.h"
 #include "wasabihook/units.h"
 
@@ -39,6 +40,8 @@
   // Requests per second that the server takes from all instances together, for
   // as long as its answers name it.
   std::string server_limit;
+  // How often the store was restored from an older copy; in all its replies.
+  std::string store_era;
 };
 
 using ServiceName = StrongId<struct ServiceNameTag, std::string>;
@@ -108,6 +111,9 @@
   // Start time as Unix time in milliseconds. Differs after a restart under the
   // same id.
   int64_t started_at_ms = 0;
+  // Grows with each statement of one start of the server; empty if it names
+  // none.
+  std::optional<uint64_t> sequence;
 };
 
 // A key with its value, or the removal of a key.
@@ -116,6 +122,10 @@
   std::string value;
   Revision revision;
   bool removed = false;
+  // Set by whoever reads the reply.
+  StoreEra era{};
+
+  StorePosition position() const { return {.era = era, .revision = revision}; }
 };
 
 // HTTP request to the store, encoded by the adapter.
@@ -128,6 +138,7 @@
 struct StoreReply {
   int status = 0;
   std::string body;
+  std::optional<StoreEra> era{};
 };
 
 struct StoreListing {
--- a/src/gateway/revision_check.cc
+++ b/src/gateway/revision_check.cc
@@ -6,14 +6,14 @@
 
 namespace wasabihook::gateway {
 
-bool StalledWatchDetector::Observe(Revision remote,
-                                   Revision own,
+bool StalledWatchDetector::Observe(StorePosition remote,
+                                   StorePosition own,
                                    TimePoint now) {
-  if (m_awaited && own >= m_awaited->revision)
+  if (m_awaited && own >= m_awaited->position)
     m_awaited.reset();
   if (!m_awaited) {
     if (remote > own)
-      m_awaited = {.revision = remote, .since = now};
+      m_awaited = {.position = remote, .since = now};
     return false;
   }
   return now - m_awaited->since >= m_max_lag;
@@ -69,10 +69,10 @@
     if (state.store_reachable)
       m_selector->OnPeerSuccess(m_address);
     if (!m_active || !state.store_reachable ||
-        !m_detector.Observe(state.revision, m_revision, now))
+        !m_detector.Observe(state.position, m_position, now))
       return;
     m_selector->OnPeerAhead(m_address);
-    ReportStalledWatch(state.revision, m_address);
+    ReportStalledWatch(state.position, m_address);
   } catch (const std::exception& error) {
     m_context->log->Warning("feed_invalid",
                             {{"address", m_address}, {"reason", error.what()}});
@@ -80,17 +80,20 @@
   }
 }
 
-void RevisionCheck::Observe(Revision revision) {
+void RevisionCheck::Observe(StorePosition position) {
   if (m_active &&
-      m_detector.Observe(revision, m_revision, m_context->loop->Now()))
-    ReportStalledWatch(revision, m_context->settings->store_address);
+      m_detector.Observe(position, m_position, m_context->loop->Now()))
+    ReportStalledWatch(position, m_context->settings->store_address);
 }
 
-void RevisionCheck::ReportStalledWatch(Revision remote,
+void RevisionCheck::ReportStalledWatch(StorePosition remote,
                                        const std::string& address) {
-  m_context->log->Warning("watch_deaf", {{"revision", m_revision.value()},
-                                         {"elsewhere", remote.value()},
-                                         {"address", address}});
+  m_context->log->Warning("watch_deaf",
+                          {{"era", m_position.era.value()},
+                           {"revision", m_position.revision.value()},
+                           {"elsewhere_era", remote.era.value()},
+                           {"elsewhere", remote.revision.value()},
+                           {"address", address}});
   m_detector.Reset();
   m_on_stalled();
 }
--- a/src/gateway/revision_check.h
+++ b/src/gateway/revision_check.h
@@ -21,12 +21,12 @@
  public:
   explicit StalledWatchDetector(Duration max_lag) : m_max_lag(max_lag) {}
   // Returns true once the watch counts as stalled.
-  bool Observe(Revision remote, Revision own, TimePoint now);
+  bool Observe(StorePosition remote, StorePosition own, TimePoint now);
   void Reset() { m_awaited.reset(); }
 
  private:
   struct Awaited {
-    Revision revision;
+    StorePosition position;
     TimePoint since;
   };
   const Duration m_max_lag;
@@ -49,20 +49,20 @@
 
   // Starts or stops the checks.
   void SetActive(bool active);
-  void SetRevision(Revision revision) { m_revision = revision; }
+  void SetPosition(StorePosition position) { m_position = position; }
   // Compares with a revision that the store returned in another reply.
-  void Observe(Revision revision);
+  void Observe(StorePosition position);
 
  private:
   void Check();
   void OnReply(const std::optional<StoreReply>& reply);
-  void ReportStalledWatch(Revision remote, const std::string& address);
+  void ReportStalledWatch(StorePosition remote, const std::string& address);
 
   GatewayContext* const m_context;
   FeedSelector* const m_selector;
   const std::function<void()> m_on_stalled;
   StalledWatchDetector m_detector;
-  Revision m_revision;
+  StorePosition m_position;
   bool m_active = false;
   size_t m_next_feed = 0;
   // Address of the instance asked last.
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -13,6 +13,12 @@
   return state == ServerState::kReady ? "ready" : "draining";
 }
 
+// True if the same start of the server has said something newer than `entry`.
+bool IsOlderStatement(const ServerEntry& entry, const ServerEntry& known) {
+  return entry.started_at_ms == known.started_at_ms && entry.sequence &&
+         known.sequence && *entry.sequence < *known.sequence;
+}
+
 }  // namespace
 
 ServerDirectory::ServerDirectory(GatewayContext* context)
@@ -64,10 +70,10 @@
     service->UpdateShare(m_context->settings->instance, m_instances);
 }
 
-void ServerDirectory::Add(ServerEntry entry, Revision revision) {
+void ServerDirectory::Add(ServerEntry entry, StorePosition position) {
   const ServerId id = entry.id;
   Record record;
-  record.revision = revision;
+  record.position = position;
   record.service = GetService(entry.service);
   record.server = std::make_shared<BackendServer>(m_context, std::move(entry));
   record.service->Add(record.server);
@@ -75,12 +81,27 @@
   m_servers.emplace(id, std::move(record));
 }
 
-void ServerDirectory::Apply(ServerEntry entry, Revision revision, bool log) {
+void ServerDirectory::Apply(ServerEntry entry,
+                            StorePosition position,
+                            bool log) {
   const ServerId id = entry.id;
   const ServerState state = entry.state;
   auto found = m_servers.find(id);
-  if (found != m_servers.end() && found->second.revision >= revision)
+  if (found != m_servers.end() && found->second.position >= position)
     return;
+  // A restored store lists what a server said before its last statement, which
+  // may have been that it leaves.
+  if (found != m_servers.end() &&
+      IsOlderStatement(entry, found->second.server->entry())) {
+    m_context->log->Info(
+        "server_entry_stale",
+        {{"server", id.value()},
+         {"sequence", *entry.sequence},
+         {"known_sequence", *found->second.server->entry().sequence},
+         {"era", position.era.value()},
+         {"revision", position.revision.value()}});
+    return;
+  }
   if (found != m_servers.end() &&
       found->second.service->name() != entry.service) {
     Drop(id);
@@ -88,12 +109,14 @@
   }
   if (found == m_servers.end()) {
     if (log)
-      m_context->log->Info("server_listed", {{"server", id.value()},
-                                             {"service", entry.service.value()},
-                                             {"address", entry.address},
-                                             {"state", StateName(state)},
-                                             {"revision", revision.value()}});
-    Add(std::move(entry), revision);
+      m_context->log->Info("server_listed",
+                           {{"server", id.value()},
+                            {"service", entry.service.value()},
+                            {"address", entry.address},
+                            {"state", StateName(state)},
+                            {"sequence", entry.sequence.value_or(0)},
+                            {"revision", position.revision.value()}});
+    Add(std::move(entry), position);
     found = m_servers.find(id);
   } else {
     if (found->second.server->entry().state != state ||
@@ -102,9 +125,10 @@
           "server_changed",
           {{"server", id.value()},
            {"state", StateName(state)},
+           {"sequence", entry.sequence.value_or(0)},
            {"was_removed", found->second.removal_at.has_value()},
-           {"revision", revision.value()}});
-    found->second.revision = revision;
+           {"revision", position.revision.value()}});
+    found->second.position = position;
     found->second.server->Update(std::move(entry));
   }
   Record& record = found->second;
@@ -121,7 +145,7 @@
 // period.
 Duration ServerDirectory::RemovalGrace() const {
   const TimePoint now = m_context->loop->Now();
-  if (m_store_reachable_at && now - *m_store_reachable_at < kLeaseExpiryGrace)
+  if (m_leases_lost_at && now - *m_leases_lost_at < kLeaseExpiryGrace)
     return kLeaseExpiryGrace;
   const auto pending = static_cast<double>(
       std::count_if(m_servers.begin(), m_servers.end(), [](const auto& entry) {
@@ -132,13 +156,13 @@
              : kRemovalGrace;
 }
 
-void ServerDirectory::Remove(const ServerId& id, Revision revision) {
+void ServerDirectory::Remove(const ServerId& id, StorePosition position) {
   const auto found = m_servers.find(id);
-  if (found == m_servers.end() || found->second.revision >= revision ||
+  if (found == m_servers.end() || found->second.position >= position ||
       found->second.removal_at)
     return;
   Record& record = found->second;
-  record.revision = revision;
+  record.position = position;
   const bool drained = record.server->draining();
   const Duration grace = drained ? Duration(0) : RemovalGrace();
   record.removal_at = m_context->loop->Now() + grace;
@@ -147,11 +171,11 @@
                         {"service", record.service->name().value()},
                         {"drained", drained},
                         {"grace_ms", grace.count() / 1000},
-                        {"revision", revision.value()}});
+                        {"revision", position.revision.value()}});
 }
 
 void ServerDirectory::Reconcile(const std::vector<ServerId>& listed,
-                                Revision revision) {
+                                StorePosition position) {
   const std::unordered_set<ServerId> present(listed.begin(), listed.end());
   std::vector<ServerId> missing;
   for (const auto& [id, record] : m_servers) {
@@ -159,12 +183,12 @@
       missing.push_back(id);
   }
   for (const ServerId& id : missing)
-    Remove(id, revision);
+    Remove(id, position);
 }
 
-void ServerDirectory::OnStoreReachable() {
+void ServerDirectory::OnLeasesLost() {
   const TimePoint now = m_context->loop->Now();
-  m_store_reachable_at = now;
+  m_leases_lost_at = now;
   for (auto& [id, record] : m_servers) {
     if (record.removal_at && !record.removed)
       record.removal_at = now + kLeaseExpiryGrace;
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -38,16 +38,17 @@
   void UpdateServiceShares();
 
   // Adds or updates the server of `entry`, which the registry lists at
-  // `revision`; ignored if a newer revision was applied. `log`: log the
+  // `position`; ignored if a newer position was applied. `log`: log the
   // addition of a server.
-  void Apply(ServerEntry entry, Revision revision, bool log = true);
-  void Remove(const ServerId& id, Revision revision);
+  void Apply(ServerEntry entry, StorePosition position, bool log = true);
+  void Remove(const ServerId& id, StorePosition position);
   // Removes all servers that are not in `listed`, a complete listing at
-  // `revision`.
-  void Reconcile(const std::vector<ServerId>& listed, Revision revision);
-  // The store answers again after an outage. Extends pending removals, since
-  // leases may have expired during the outage.
-  void OnStoreReachable();
+  // `position`.
+  void Reconcile(const std::vector<ServerId>& listed, StorePosition position);
+  // Leases may have expired in an outage of the store, or were lost when it was
+  // restored from an older copy. Extends pending removals, since the entries of
+  // live servers return.
+  void OnLeasesLost();
 
   size_t known() const { return m_servers.size(); }
   size_t usable() const;
@@ -56,13 +57,13 @@
   struct Record {
     std::shared_ptr<BackendServer> server;
     std::shared_ptr<Service> service;
-    Revision revision;
+    StorePosition position;
     // Time at which the removal takes effect unless the entry returns.
     std::optional<TimePoint> removal_at;
     bool removed = false;
   };
 
-  void Add(ServerEntry entry, Revision revision);
+  void Add(ServerEntry entry, StorePosition position);
   void Drop(const ServerId& id);
   Duration RemovalGrace() const;
   void Sweep();
@@ -77,7 +78,7 @@
   std::vector<std::shared_ptr<BackendServer>> m_draining_servers;
   uint32_t m_instances = 1;
   TimePoint m_instances_changed_at;
-  std::optional<TimePoint> m_store_reachable_at;
+  std::optional<TimePoint> m_leases_lost_at;
   ConnectionWarmer m_warmer;
   TimerHandle m_sweep;
 };
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -1,13 +1,19 @@
 #include "gateway/store_client.h"
 
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 #include "gateway/gateway_settings.h"
 
 namespace wasabihook::gateway {
 
-StoreClient::StoreClient(EventLoop* loop, std::string address)
-    : m_loop(loop), m_address(std::move(address)) {}
+StoreClient::StoreClient(EventLoop* loop,
+                         std::string address,
+                         std::string era_field)
+    : m_loop(loop),
+      m_address(std::move(address)),
+      m_era_field(std::move(era_field)) {}
 
 StoreClient::~StoreClient() {
   if (m_timeout)
@@ -79,7 +85,20 @@
     return;
   }
   Finish(StoreReply{.status = connection.reply().status(),
-                    .body = connection.reply().TakeBody()});
+                    .body = connection.reply().TakeBody(),
+                    .era = ReadEra(connection.reply().headers())});
+}
+
+std::optional<StoreEra> StoreClient::ReadEra(const HeaderList& headers) const {
+  if (m_era_field.empty())
+    return std::nullopt;
+  const std::string_view text = headers.Find(m_era_field);
+  uint64_t era = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), era);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size())
+    return std::nullopt;
+  return StoreEra(era);
 }
 
 void StoreClient::OnConnected(ServerConnection& /*connection*/) {}
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -21,7 +21,9 @@
 // Makes calls to one address over one persistent connection, one at a time.
 class StoreClient : public ConnectionOwner {
  public:
-  StoreClient(EventLoop* loop, std::string address);
+  // `era_field`: header field with the era of the store; empty if the peer is
+  // no store.
+  StoreClient(EventLoop* loop, std::string address, std::string era_field = "");
   ~StoreClient() override;
   StoreClient(const StoreClient&) = delete;
   StoreClient& operator=(const StoreClient&) = delete;
@@ -43,9 +45,11 @@
 
  private:
   void Finish(std::optional<StoreReply> reply);
+  std::optional<StoreEra> ReadEra(const HeaderList& headers) const;
 
   EventLoop* const m_loop;
   const std::string m_address;
+  const std::string m_era_field;
   // Empty header name, since the store's replies carry no request id.
   const std::string m_no_request_id_field;
   std::unique_ptr<ServerConnection> m_connection;
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -1,6 +1,7 @@
 #include "gateway/store_follower.h"
 
 #include <algorithm>
+#include <stdexcept>
 #include <utility>
 
 #include "gateway/change_feed.h"
@@ -25,8 +26,12 @@
       m_selector(selector),
       m_rearm_delay(rearm_delay),
       m_hooks(std::move(hooks)),
-      m_client(context->loop, context->settings->store_address),
-      m_ping_client(context->loop, context->settings->store_address),
+      m_client(context->loop,
+               context->settings->store_address,
+               context->platform->headers.store_era),
+      m_ping_client(context->loop,
+                    context->settings->store_address,
+                    context->platform->headers.store_era),
       m_ping_timer(
           context->loop->SubscribeEvery(kStorePingPeriod, [this] { Ping(); })),
       m_last_reply_at(context->loop->Now()),
@@ -64,9 +69,11 @@
   if (!m_store_reachable)
     return;
   m_store_reachable = false;
-  m_context->log->Warning(
-      "store_lost",
-      {{"call", call}, {"status", status}, {"revision", m_revision.value()}});
+  m_context->log->Warning("store_lost",
+                          {{"call", call},
+                           {"status", status},
+                           {"era", m_position.era.value()},
+                           {"revision", m_position.revision.value()}});
   m_hooks.on_store_unreachable();
 }
 
@@ -96,8 +103,15 @@
   if (reply && reply->status == kOk) {
     m_context->metrics->CountStoreCall("ping", "ok");
     SetReachable();
+    if (JudgeEra(m_position.era, reply->era) == ReplyEra::kRestored) {
+      m_client.Cancel();
+      OnRestored("ping", *reply->era);
+      return;
+    }
     try {
-      m_revision_check.Observe(m_codec->DecodeListing(reply->body).revision);
+      m_revision_check.Observe(
+          {.era = reply->era.value_or(m_position.era),
+           .revision = m_codec->DecodeListing(reply->body).revision});
     } catch (const std::exception& error) {
       m_context->log->Warning("store_reply_invalid",
                               {{"call", "ping"}, {"reason", error.what()}});
@@ -116,6 +130,43 @@
                                        (0.5 + m_context->Uniform())));
 }
 
+void StoreFollower::ListAnew() {
+  m_next_page_after.clear();
+  m_items.clear();
+  List();
+}
+
+void StoreFollower::OnRestored(const char* source, StoreEra era) {
+  m_context->log->Warning("store_restored",
+                          {{"source", source},
+                           {"from_era", m_position.era.value()},
+                           {"to_era", era.value()},
+                           {"revision", m_position.revision.value()}});
+  m_context->metrics->CountStoreCall(source, "restored");
+  // All instances learn of it at the same moment.
+  Schedule(Jittered(kRelistDelay) / 2, &StoreFollower::ListAnew);
+}
+
+bool StoreFollower::HandleOtherEra(const char* call, const StoreReply& reply) {
+  switch (JudgeEra(m_position.era, reply.era)) {
+    case ReplyEra::kSame:
+      return false;
+    case ReplyEra::kRestored:
+      SetReachable();
+      OnRestored(call, *reply.era);
+      return true;
+    case ReplyEra::kStale:
+      break;
+  }
+  m_context->log->Warning("store_reply_stale",
+                          {{"call", call},
+                           {"era", reply.era->value()},
+                           {"followed_era", m_position.era.value()}});
+  m_client.DropConnection();
+  Retry(call, reply.status, &StoreFollower::Follow);
+  return true;
+}
+
 void StoreFollower::List() {
   m_client.Call(
       m_codec->List("", m_next_page_after), kStoreCallTimeout,
@@ -140,10 +191,25 @@
     Retry("list", reply->status, &StoreFollower::List);
     return;
   }
+  const StoreEra era = reply->era.value_or(
+      m_next_page_after.empty() ? m_position.era : m_list_position.era);
+  // A reply from before the store was restored, or pages of two eras.
+  if (era < m_position.era ||
+      (!m_next_page_after.empty() && era != m_list_position.era)) {
+    m_context->log->Warning("store_reply_stale",
+                            {{"call", "list"},
+                             {"era", era.value()},
+                             {"followed_era", m_position.era.value()}});
+    m_client.DropConnection();
+    Retry("list", reply->status, &StoreFollower::ListAnew);
+    return;
+  }
   SetReachable();
   m_context->metrics->CountStoreCall("list", "ok");
   if (m_next_page_after.empty())
-    m_list_revision = page.revision;
+    m_list_position = {.era = era, .revision = page.revision};
+  for (StoreItem& item : page.items)
+    item.era = era;
   std::move(page.items.begin(), page.items.end(), std::back_inserter(m_items));
   if (page.truncated && !m_items.empty()) {
     m_next_page_after = m_items.back().key;
@@ -151,9 +217,9 @@
     return;
   }
   m_next_page_after.clear();
-  m_revision = m_list_revision;
-  m_revision_check.SetRevision(m_revision);
-  m_hooks.on_listing(m_items, m_revision);
+  m_position = m_list_position;
+  m_revision_check.SetPosition(m_position);
+  m_hooks.on_listing(m_items, m_position);
   m_items.clear();
   m_items.shrink_to_fit();
   // The delay lets instances that start together register and find each other
@@ -184,9 +250,11 @@
 
 void StoreFollower::CallPeer(const FeedSource& source) {
   if (m_peer_client == nullptr || m_peer.address != source.address) {
-    m_context->log->Info("feed_followed", {{"address", source.address},
-                                           {"direct_only", source.direct_only},
-                                           {"revision", m_revision.value()}});
+    m_context->log->Info("feed_followed",
+                         {{"address", source.address},
+                          {"direct_only", source.direct_only},
+                          {"era", m_position.era.value()},
+                          {"revision", m_position.revision.value()}});
     // The old client may be on the call stack below this function.
     m_previous_peer_client = std::move(m_peer_client);
     m_peer_client =
@@ -194,7 +262,7 @@
   }
   m_peer = source;
   m_peer_client->Call(
-      MakeChangesCall(m_revision, source.direct_only), kFeedTimeout,
+      MakeChangesCall(m_position, source.direct_only), kFeedTimeout,
       [this](std::optional<StoreReply> reply) { OnPeerReply(reply); });
 }
 
@@ -207,9 +275,11 @@
 }
 
 void StoreFollower::RetryAfterPeerFailure(const char* reason) {
-  m_context->log->Warning("feed_failed", {{"address", m_peer.address},
-                                          {"reason", reason},
-                                          {"revision", m_revision.value()}});
+  m_context->log->Warning("feed_failed",
+                          {{"address", m_peer.address},
+                           {"reason", reason},
+                           {"era", m_position.era.value()},
+                           {"revision", m_position.revision.value()}});
   m_short_watches = kStoreShortWatchCount;
   // Instances that follow this one must not rely on it until it has a working
   // source again.
@@ -242,7 +312,17 @@
     RetryAfterPeerFailure(error.what());
     return;
   }
-  ReportChanges(feed.changes, feed.revision);
+  const ReplyEra era = JudgeEra(m_position.era, feed.position.era);
+  if (era == ReplyEra::kRestored) {
+    OnRestored("feed", feed.position.era);
+    return;
+  }
+  if (era == ReplyEra::kStale) {
+    m_selector->OnPeerUnusable(m_peer.address, now);
+    RetryAfterPeerFailure("the instance has not read the restored store");
+    return;
+  }
+  ReportChanges(std::move(feed.changes), feed.position);
   if (!feed.store_reachable || (m_peer.direct_only && !feed.direct)) {
     m_selector->OnPeerUnusable(m_peer.address, now);
     RetryAfterPeerFailure("the instance has lost contact with the store");
@@ -253,17 +333,18 @@
   Follow();
 }
 
-void StoreFollower::ReportChanges(const std::vector<StoreItem>& changes,
-                                  Revision revision) {
+void StoreFollower::ReportChanges(std::vector<StoreItem> changes,
+                                  StorePosition position) {
   // A reply that arrives twice on a reused connection must not bring back what
   // was removed since.
-  for (const StoreItem& item : changes) {
-    if (item.revision > m_revision)
+  for (StoreItem& item : changes) {
+    item.era = position.era;
+    if (item.position() > m_position)
       m_hooks.on_change(item);
   }
-  m_revision = std::max(m_revision, revision);
-  m_revision_check.SetRevision(m_revision);
-  m_hooks.on_caught_up(m_revision);
+  m_position = std::max(m_position, position);
+  m_revision_check.SetPosition(m_position);
+  m_hooks.on_caught_up(m_position);
 }
 
 void StoreFollower::Watch() {
@@ -275,16 +356,19 @@
     wait = kUncheckedWatchWait;
   }
   m_client.Call(
-      m_codec->Watch("", m_revision, wait), wait + kStoreWatchGrace,
+      m_codec->Watch("", m_position.revision, wait), wait + kStoreWatchGrace,
       [this](std::optional<StoreReply> reply) { OnWatchReply(reply); });
 }
 
 void StoreFollower::OnWatchReply(const std::optional<StoreReply>& reply) {
   if (reply && m_codec->IsCompacted(reply->status)) {
+    if (HandleOtherEra("watch", *reply))
+      return;
     m_context->log->Warning("store_history_gone",
-                            {{"revision", m_revision.value()}});
+                            {{"era", m_position.era.value()},
+                             {"revision", m_position.revision.value()}});
     m_context->metrics->CountStoreCall("watch", "compacted");
-    Schedule(kRelistDelay, &StoreFollower::List);
+    Schedule(kRelistDelay, &StoreFollower::ListAnew);
     return;
   }
   if (!reply || reply->status != kOk) {
@@ -292,6 +376,8 @@
     Retry("watch", reply ? reply->status : 0, &StoreFollower::Follow);
     return;
   }
+  if (HandleOtherEra("watch", *reply))
+    return;
   StoreListing events;
   try {
     events = m_codec->DecodeEvents(reply->body);
@@ -299,22 +385,23 @@
     m_context->log->Warning("store_reply_invalid",
                             {{"call", "watch"}, {"reason", error.what()}});
     m_client.DropConnection();
-    Retry("watch", reply->status, &StoreFollower::List);
+    Retry("watch", reply->status, &StoreFollower::ListAnew);
     return;
   }
   SetReachable();
   m_context->metrics->CountStoreCall("watch", "ok");
   m_selector->OnStoreSuccess();
-  if (events.items.empty() && events.revision > m_revision) {
+  if (events.items.empty() && events.revision > m_position.revision) {
     // All keys are watched, so each new revision has an event. A newer revision
     // without events means that the watch was opened in a gap of the history.
-    m_context->log->Warning(
-        "store_events_missed",
-        {{"after", m_revision.value()}, {"revision", events.revision.value()}});
-    List();
+    m_context->log->Warning("store_events_missed",
+                            {{"after", m_position.revision.value()},
+                             {"revision", events.revision.value()}});
+    ListAnew();
     return;
   }
-  ReportChanges(events.items, events.revision);
+  ReportChanges(std::move(events.items),
+                {.era = m_position.era, .revision = events.revision});
   Schedule(m_rearm_delay, &StoreFollower::Follow);
 }
 
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -17,11 +17,12 @@
 
 // Called by StoreFollower.
 struct StoreFollowerHooks {
-  // All keys, at the start and after a gap in the history.
-  std::function<void(const std::vector<StoreItem>&, Revision)> on_listing;
+  // All keys, at the start, after a gap in the history and after the store was
+  // restored from an older copy.
+  std::function<void(const std::vector<StoreItem>&, StorePosition)> on_listing;
   std::function<void(const StoreItem&)> on_change;
-  // All changes up to this revision were reported.
-  std::function<void(Revision)> on_caught_up;
+  // All changes up to this position were reported.
+  std::function<void(StorePosition)> on_caught_up;
   // The store became unreachable or reachable again, directly or through
   // another instance.
   std::function<void()> on_store_unreachable;
@@ -51,6 +52,13 @@
 
  private:
   void List();
+  // Lists from the first page.
+  void ListAnew();
+  // Handles a reply from another era than the one that is followed. Returns
+  // false if the era is the same.
+  bool HandleOtherEra(const char* call, const StoreReply& reply);
+  // The store was restored from an older copy; reads all keys again.
+  void OnRestored(const char* source, StoreEra era);
   void OnListReply(const std::optional<StoreReply>& reply);
   // Waits for changes from the selected source.
   void Follow();
@@ -67,7 +75,7 @@
   void SetUnreachable(const char* call, int status);
   void OnPeerReply(const std::optional<StoreReply>& reply);
   void RetryAfterPeerFailure(const char* reason);
-  void ReportChanges(const std::vector<StoreItem>& changes, Revision revision);
+  void ReportChanges(std::vector<StoreItem> changes, StorePosition position);
   void Schedule(Duration delay, void (StoreFollower::*step)());
   // Records a failed call and repeats `step` after an exponential backoff.
   void Retry(const char* call, int status, void (StoreFollower::*step)());
@@ -88,10 +96,10 @@
   std::unique_ptr<StoreClient> m_peer_client;
   std::unique_ptr<StoreClient> m_previous_peer_client;
   std::vector<StoreItem> m_items;
-  // Revision of the first page, from which the watch continues. Later pages may
+  // Position of the first page, from which the watch continues. Later pages may
   // contain newer changes; the watch returns these again.
-  Revision m_list_revision;
-  Revision m_revision;
+  StorePosition m_list_position;
+  StorePosition m_position;
   std::string m_next_page_after;
   bool m_has_listing = false;
   bool m_store_reachable = true;
--- a/tests/gateway/feed_test.cc
+++ b/tests/gateway/feed_test.cc
@@ -17,6 +17,10 @@
 
 const TimePoint kStart{seconds(1000)};
 
+StorePosition At(uint64_t revision) {
+  return {.era = StoreEra(2), .revision = Revision(revision)};
+}
+
 FeedSelector MakeSelector(const char* self) {
   FeedSelector selector(InstanceId(self), DataCentreId("a"));
   selector.SetInstance(InstanceId("a-1"), {DataCentreId("a"), "10.0.0.1:1"});
@@ -100,28 +104,24 @@
 // Guards against a watch that the store keeps open without sending events.
 TEST(StalledWatchDetector, ReportsARevisionThatDoesNotArrive) {
   StalledWatchDetector detector(milliseconds(700));
-  EXPECT_FALSE(detector.Observe(Revision(12), Revision(10), kStart));
-  EXPECT_FALSE(
-      detector.Observe(Revision(12), Revision(10), kStart + milliseconds(500)));
-  EXPECT_TRUE(
-      detector.Observe(Revision(12), Revision(10), kStart + milliseconds(800)));
+  EXPECT_FALSE(detector.Observe(At(12), At(10), kStart));
+  EXPECT_FALSE(detector.Observe(At(12), At(10), kStart + milliseconds(500)));
+  EXPECT_TRUE(detector.Observe(At(12), At(10), kStart + milliseconds(800)));
 }
 
 // Guards against abandoning a watch that is only slightly behind during a burst
 // of changes.
 TEST(StalledWatchDetector, CatchingUpWithTheAwaitedRevisionIsEnough) {
   StalledWatchDetector detector(milliseconds(700));
-  EXPECT_FALSE(detector.Observe(Revision(12), Revision(10), kStart));
-  EXPECT_FALSE(
-      detector.Observe(Revision(20), Revision(12), kStart + milliseconds(600)));
-  EXPECT_FALSE(
-      detector.Observe(Revision(20), Revision(13), kStart + milliseconds(900)));
+  EXPECT_FALSE(detector.Observe(At(12), At(10), kStart));
+  EXPECT_FALSE(detector.Observe(At(20), At(12), kStart + milliseconds(600)));
+  EXPECT_FALSE(detector.Observe(At(20), At(13), kStart + milliseconds(900)));
 }
 
 TEST(FeedReply, RoundTripsThroughEncoding) {
   FeedReply reply;
   reply.store_reachable = true;
-  reply.revision = Revision(9);
+  reply.position = At(9);
   reply.changes.push_back({.key = "k",
                            .value = std::string("\xff\x00{", 3),
                            .revision = Revision(8),
@@ -129,7 +129,7 @@
   const FeedReply decoded = DecodeFeedReply(EncodeFeedReply(reply));
   EXPECT_TRUE(decoded.store_reachable);
   EXPECT_FALSE(decoded.direct);
-  EXPECT_EQ(decoded.revision, Revision(9));
+  EXPECT_EQ(decoded.position, At(9));
   ASSERT_EQ(decoded.changes.size(), 1U);
   EXPECT_EQ(decoded.changes[0].value, std::string("\xff\x00{", 3));
 }
