Write a verdict again that the store lost before anybody read it

Cause: an acknowledged write counted as done. The key was written again only after a listing or a change had shown it and a later one lacked it. A store that is restored from an older copy between the acknowledgement and the watch never shows it.

Change: after each listing, what is known and not listed is due again. An acknowledgement from an earlier era of the store does not count.

With more than one instance the others wrote the verdict in the same run, so the test has one.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -277,7 +277,7 @@
     ApplyItem(item);
   }
   m_directory.Reconcile(servers, position);
-  ReconcileQuarantine(items);
+  ReconcileQuarantine(items, position.era);
   CountInstances();
   if (m_change_feed != nullptr) {
     m_change_feed->Reset(position);
@@ -389,19 +389,26 @@
   }
 }
 
-void Gateway::ReconcileQuarantine(const std::vector<StoreItem>& items) {
-  std::set<std::string> present;
+void Gateway::ReconcileQuarantine(const std::vector<StoreItem>& items,
+                                  StoreEra era) {
+  std::set<Fingerprint> present;
   for (const StoreItem& item : items) {
-    if (m_platform.classify_key(item.key) == KeyKind::kQuarantine)
-      present.insert(item.key);
+    if (m_platform.classify_key(item.key) != KeyKind::kQuarantine)
+      continue;
+    if (const auto fingerprint =
+            ParseFingerprint(std::string_view(item.key).substr(
+                m_platform.quarantine_prefix.size())))
+      present.insert(*fingerprint);
   }
   const std::set<Fingerprint> listed = m_listed_quarantine;
   for (const Fingerprint fingerprint : listed) {
-    const std::string key = m_platform.quarantine_prefix + ToHex(fingerprint);
-    if (!present.contains(key))
-      ApplyQuarantine(
-          {.key = key, .value = "", .revision = {}, .removed = true});
+    if (!present.contains(fingerprint))
+      ApplyQuarantine({.key = m_platform.quarantine_prefix + ToHex(fingerprint),
+                       .value = "",
+                       .revision = {},
+                       .removed = true});
   }
+  m_quarantine_publisher.OnListing(present, era);
 }
 
 void Gateway::ApplyRouting(const StoreItem& item) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -70,8 +70,8 @@
   void ApplyInstance(const StoreItem& item);
   void ApplyQuarantine(const StoreItem& item);
   void OnVerdict(const QuarantineVerdict& verdict);
-  // Drops quarantined requests that the store no longer lists.
-  void ReconcileQuarantine(const std::vector<StoreItem>& items);
+  // Drops or writes again quarantined requests that the store does not list.
+  void ReconcileQuarantine(const std::vector<StoreItem>& items, StoreEra era);
   void CountInstances();
   void OnCaughtUp(StorePosition position);
   void UpdateGauges();
--- a/src/gateway/quarantine_publisher.cc
+++ b/src/gateway/quarantine_publisher.cc
@@ -39,7 +39,9 @@
                                          const StoreCodec* codec)
     : m_context(context),
       m_codec(codec),
-      m_client(context->loop, context->settings->store_address),
+      m_client(context->loop,
+               context->settings->store_address,
+               context->platform->headers.store_era),
       m_timer(context->loop->SubscribeEvery(kStepPeriod, [this] { Step(); })) {}
 
 QuarantinePublisher::~QuarantinePublisher() {
@@ -101,6 +103,15 @@
   return true;
 }
 
+void QuarantinePublisher::OnListing(const std::set<Fingerprint>& listed,
+                                    StoreEra era) {
+  m_era = era;
+  for (auto& [fingerprint, entry] : m_known) {
+    if (!entry.due && !listed.contains(fingerprint))
+      WriteSoon(entry);
+  }
+}
+
 void QuarantinePublisher::Step() {
   const TimePoint now = m_context->loop->Now();
   std::erase_if(m_known, [now](const auto& entry) {
@@ -154,6 +165,9 @@
                   }
                   m_context->metrics->CountStoreCall("put", "ok");
                   m_backoff = Duration(0);
+                  // Written before the store was restored.
+                  if (JudgeEra(m_era, reply->era) == ReplyEra::kStale)
+                    return;
                   if (const auto written = m_known.find(fingerprint);
                       written != m_known.end())
                     written->second.due.reset();
--- a/src/gateway/quarantine_publisher.h
+++ b/src/gateway/quarantine_publisher.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -51,6 +52,10 @@
   // The store no longer has the key. Returns whether the record holds and is
   // written again.
   bool OnRemoved(Fingerprint fingerprint);
+  // The store was listed in `era` and has the keys of `listed`. Writes again
+  // what it lacks, also if the store acknowledged it: the store may have been
+  // restored before anybody read it.
+  void OnListing(const std::set<Fingerprint>& listed, StoreEra era);
 
  private:
   struct Entry {
@@ -70,6 +75,7 @@
   StoreClient m_client;
   // Verdicts and releases that are known here.
   std::map<Fingerprint, Entry> m_known;
+  StoreEra m_era;
   Duration m_backoff{0};
   TimePoint m_retry_at;
   TimerHandle m_timer;
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -294,6 +294,30 @@
   EXPECT_EQ(crashes(), before);
 }
 
+// Guards against a verdict whose record is lost before anybody has read it: the
+// store comes back from an older copy right after it has acknowledged it. Only
+// the instance that wrote it knows it.
+TEST_F(CrashingRequestTest, IsRecordedAgainIfTheStoreLosesItUnread) {
+  m_gateways.resize(1);
+  const auto copy = m_store.TakeCopy();
+  bool restored = false;
+  m_store.SetTransactionHook([this, &copy, &restored] {
+    if (restored || !IsRecorded())
+      return;
+    restored = true;
+    m_store.Restore(*copy);
+    m_store.RepeatLostChanges();
+  });
+  for (int i = 0; !restored && i < 80; ++i) {
+    Request(0, kCrashTarget);
+    Wait(milliseconds(150));
+  }
+  ASSERT_TRUE(restored);
+  Wait(seconds(3));
+  EXPECT_TRUE(IsRecorded());
+  m_store.SetTransactionHook(nullptr);
+}
+
 // Guards against a release that is lost with the store's last seconds: the
 // record from before it comes back.
 TEST_F(CrashingRequestTest, ReleaseOutlastsAnOlderRecord) {
