Don't use servers again that a restored store still lists

Callers would see: requests sent to servers that had left, since the copy from which the store comes back still lists them as ready: connections that are refused, answers of another service at a reused address, and new work for a server that is about to end (DRAIN).

Cause: the order of what a server says was only known while the directory had it. It forgets a server 0.8 s after its removal; copies are some seconds old.

Change: DepartedServers remembers for two minutes, for 4,096 servers at most, what each server that left had said last (start and sequence). An entry from before that is not applied once the era has risen. A later sequence or start is, so a live server whose lease had ended by mistake returns with its next heartbeat. An earlier start counts as older only in a listing, since the clock of a server that starts again may be behind. Such entries are logged (server_entry_stale) and counted.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -440,9 +440,10 @@
     return;
   }
   try {
-    // The servers of the first listing are logged in one line, by OnListing().
     m_directory.Apply(m_platform.decode_server(id, item.value), item.position(),
-                      m_has_listing);
+                      !item.listed    ? EntrySource::kChange
+                      : m_has_listing ? EntrySource::kListing
+                                      : EntrySource::kFirstListing);
   } catch (const std::exception& error) {
     m_log.Warning("server_entry_invalid", {{"server", id.value()},
                                            {"revision", item.revision.value()},
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -48,6 +48,9 @@
       m_quarantine(Counters(m_registry,
                             "wasabihook_gateway_quarantine_total",
                             "Requests that crash servers, by event.")),
+      m_server_entries(Counters(m_registry,
+                                "wasabihook_gateway_server_entries_total",
+                                "Entries of servers that are not applied.")),
       m_limits(Counters(m_registry,
                         "wasabihook_gateway_server_limits_total",
                         "Limits that servers name, by event.")),
@@ -100,6 +103,10 @@
   CounterOf(m_quarantine, "event", event).Increment();
 }
 
+void GatewayMetrics::CountOutdatedServerEntry() {
+  CounterOf(m_server_entries, "event", "outdated").Increment();
+}
+
 void GatewayMetrics::CountLimit(const char* event) {
   CounterOf(m_limits, "event", event).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -27,6 +27,8 @@
   void CountConnect(bool failed);
   // Requests that crash servers, by event.
   void CountQuarantine(const char* event);
+  // Entry of a server from before the store was restored.
+  void CountOutdatedServerEntry();
   // Limits that servers name, by event.
   void CountLimit(const char* event);
   void SetLimitedServers(size_t count);
@@ -55,6 +57,7 @@
   prometheus::Family<prometheus::Counter>& m_repeats;
   prometheus::Family<prometheus::Counter>& m_connects;
   prometheus::Family<prometheus::Counter>& m_quarantine;
+  prometheus::Family<prometheus::Counter>& m_server_entries;
   prometheus::Family<prometheus::Counter>& m_limits;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Gauge>& m_state;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -117,6 +117,10 @@
 // Leases can expire only in an outage of the store of at least this length:
 // they last for three heartbeats of at least a second.
 inline constexpr Duration kMinOutageForLeaseExpiry = milliseconds(2000);
+// Time for which it is remembered what a server that left said last, and number
+// of such servers. Copies that the store is restored from are seconds old.
+inline constexpr Duration kDepartedServerMemory = seconds(120);
+inline constexpr size_t kMaxDepartedServers = 4096;
 // Share of the known servers that counts as a mass removal if it is exceeded by
 // the pending removals. Expired leases are the assumed cause.
 inline constexpr double kMassRemovalShare = 0.25;
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -122,8 +122,10 @@
   std::string value;
   Revision revision;
   bool removed = false;
-  // Set by whoever reads the reply.
+  // Set by whoever reads the reply: the era, and whether it is a listing rather
+  // than a change.
   StoreEra era{};
+  bool listed = false;
 
   StorePosition position() const { return {.era = era, .revision = revision}; }
 };
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -81,34 +81,44 @@
   m_servers.emplace(id, std::move(record));
 }
 
+// A restored store lists what a server said before its last statement, which
+// may have been that it leaves.
+bool ServerDirectory::IsOutdated(const ServerEntry& entry,
+                                 StorePosition position,
+                                 EntrySource source) const {
+  const auto found = m_servers.find(entry.id);
+  return (found != m_servers.end() &&
+          IsOlderStatement(entry, found->second.server->entry())) ||
+         m_departed.IsListedAgain(entry, position,
+                                  source != EntrySource::kChange);
+}
+
 void ServerDirectory::Apply(ServerEntry entry,
                             StorePosition position,
-                            bool log) {
+                            EntrySource source) {
   const ServerId id = entry.id;
   const ServerState state = entry.state;
   auto found = m_servers.find(id);
   if (found != m_servers.end() && found->second.position >= position)
     return;
-  // A restored store lists what a server said before its last statement, which
-  // may have been that it leaves.
-  if (found != m_servers.end() &&
-      IsOlderStatement(entry, found->second.server->entry())) {
-    m_context->log->Info(
-        "server_entry_stale",
-        {{"server", id.value()},
-         {"sequence", *entry.sequence},
-         {"known_sequence", *found->second.server->entry().sequence},
-         {"era", position.era.value()},
-         {"revision", position.revision.value()}});
+  if (IsOutdated(entry, position, source)) {
+    m_context->metrics->CountOutdatedServerEntry();
+    m_context->log->Info("server_entry_stale",
+                         {{"server", id.value()},
+                          {"sequence", entry.sequence.value_or(0)},
+                          {"known", found != m_servers.end()},
+                          {"era", position.era.value()},
+                          {"revision", position.revision.value()}});
     return;
   }
+  m_departed.Remove(id);
   if (found != m_servers.end() &&
       found->second.service->name() != entry.service) {
     Drop(id);
     found = m_servers.end();
   }
   if (found == m_servers.end()) {
-    if (log)
+    if (source != EntrySource::kFirstListing)
       m_context->log->Info("server_listed",
                            {{"server", id.value()},
                             {"service", entry.service.value()},
@@ -163,6 +173,7 @@
     return;
   Record& record = found->second;
   record.position = position;
+  m_departed.Add(record.server->entry(), position, m_context->loop->Now());
   const bool drained = record.server->draining();
   const Duration grace = drained ? Duration(0) : RemovalGrace();
   record.removal_at = m_context->loop->Now() + grace;
@@ -243,6 +254,7 @@
   }
   for (const ServerId& id : expired)
     Drop(id);
+  m_departed.Sweep(now);
   WarmUp(now);
 }
 
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -12,11 +12,20 @@
 #include <vector>
 
 #include "gateway/connection_warmer.h"
+#include "gateway/departed_servers.h"
 #include "gateway/gateway_context.h"
 #include "gateway/service.h"
 
 namespace wasabihook::gateway {
 
+// Where the entry of a server was read.
+enum class EntrySource : uint8_t {
+  // A listing may show what was written long before.
+  kFirstListing,
+  kListing,
+  kChange,
+};
+
 // Services and servers as listed by the registry. An entry that is removed
 // without a drain stays in use for a grace period: leases expire while the
 // store is unavailable, and the entries return shortly after it does.
@@ -38,9 +47,8 @@
   void UpdateServiceShares();
 
   // Adds or updates the server of `entry`, which the registry lists at
-  // `position`; ignored if a newer position was applied. `log`: log the
-  // addition of a server.
-  void Apply(ServerEntry entry, StorePosition position, bool log = true);
+  // `position`; ignored if a newer position was applied.
+  void Apply(ServerEntry entry, StorePosition position, EntrySource source);
   void Remove(const ServerId& id, StorePosition position);
   // Removes all servers that are not in `listed`, a complete listing at
   // `position`.
@@ -65,6 +73,10 @@
 
   void Add(ServerEntry entry, StorePosition position);
   void Drop(const ServerId& id);
+  // True if `entry` is from before what is known of the server.
+  bool IsOutdated(const ServerEntry& entry,
+                  StorePosition position,
+                  EntrySource source) const;
   Duration RemovalGrace() const;
   void Sweep();
   // Opens connections ahead of requests, a few at a time.
@@ -76,6 +88,7 @@
   std::unordered_map<ServerId, Record> m_servers;
   // Dropped servers with outstanding requests.
   std::vector<std::shared_ptr<BackendServer>> m_draining_servers;
+  DepartedServers m_departed;
   uint32_t m_instances = 1;
   TimePoint m_instances_changed_at;
   std::optional<TimePoint> m_leases_lost_at;
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -208,8 +208,10 @@
   m_context->metrics->CountStoreCall("list", "ok");
   if (m_next_page_after.empty())
     m_list_position = {.era = era, .revision = page.revision};
-  for (StoreItem& item : page.items)
+  for (StoreItem& item : page.items) {
     item.era = era;
+    item.listed = true;
+  }
   std::move(page.items.begin(), page.items.end(), std::back_inserter(m_items));
   if (page.truncated && !m_items.empty()) {
     m_next_page_after = m_items.back().key;
--- a/tests/gateway/restored_store_test.cc
+++ b/tests/gateway/restored_store_test.cc
@@ -154,5 +154,47 @@
   EXPECT_EQ(Server("w1").received_requests(), before);
 }
 
+// Guards against a server that has left and is used again because the copy
+// still lists it.
+TEST_F(RestoredStoreTest, ServerThatLeftStaysOut) {
+  Start();
+  json entry = json::parse(Server("w1").Entry("writes"));
+  entry["seq"] = 2;
+  m_store.Put("servers/w1", entry.dump());
+  const auto copy = m_store.TakeCopy();
+  entry["seq"] = 3;
+  entry["state"] = "draining";
+  m_store.Put("servers/w1", entry.dump());
+  Wait(milliseconds(500));
+  m_store.Remove("servers/w1");
+  // Until the directory has dropped it.
+  Wait(milliseconds(2500));
+  Restore(*copy);
+  Wait(milliseconds(1500));
+  const uint32_t before = Server("w1").received_requests();
+  for (int i = 0; i < 24; ++i)
+    EXPECT_EQ(SendRequest("POST /write/a", "x").status, 200);
+  EXPECT_EQ(Server("w1").received_requests(), before);
+}
+
+// Guards against a live server that stays out after its entry was lost with the
+// lease and the store then went back.
+TEST_F(RestoredStoreTest, ServerWhoseEntryLapsedReturns) {
+  Start();
+  const auto copy = m_store.TakeCopy();
+  m_store.Remove("servers/w1");
+  Wait(milliseconds(2500));
+  Restore(*copy);
+  Wait(milliseconds(500));
+  json entry = json::parse(Server("w1").Entry("writes"));
+  entry["seq"] = 2;
+  m_store.Put("servers/w1", entry.dump());
+  Wait(milliseconds(1000));
+  const uint32_t before = Server("w1").received_requests();
+  for (int i = 0; i < 12; ++i)
+    EXPECT_EQ(SendRequest("POST /write/a", "x").status, 200);
+  EXPECT_GT(Server("w1").received_requests(), before);
+}
+
 }  // namespace
 }  // namespace wasabihook::gateway
