Read all keys from another instance when the store turns this one away

In the test a route that had been added was answered with 404.

Cause: an instance that learns of a later era reads all keys, and only the store had them. Other instances could supply changes, but not the state that these start from. The same held for a gap in the history. Class: recovery that depends on the very part that failed, although others have what it needs.

Change: each instance keeps the keys that it has read and serves them (/content) beside the changes. An instance whose listing fails asks the instance that it would follow, and takes the answer only if that one is in contact with the store and not behind. The store comes first, as before, so a restored store sees the same calls.

--- a/src/gateway/change_feed.cc
+++ b/src/gateway/change_feed.cc
@@ -19,6 +19,7 @@
 constexpr char kPositionSeparator = '.';
 constexpr std::string_view kDirectOnlySuffix = "&direct_only";
 constexpr std::string_view kRevisionTarget = "/revision";
+constexpr std::string_view kContentTarget = "/content";
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kGone = 410;
@@ -93,6 +94,10 @@
   return {.method = "GET", .target = std::string(kRevisionTarget), .body = ""};
 }
 
+StoreCall MakeContentCall() {
+  return {.method = "GET", .target = std::string(kContentTarget), .body = ""};
+}
+
 ChangeFeed::ChangeFeed(EventLoop* loop, const std::string& address)
     : m_loop(loop),
       m_listener(loop,
@@ -107,8 +112,12 @@
   m_loop->Unsubscribe(m_waiter_timer);
 }
 
-void ChangeFeed::Reset(StorePosition position) {
+void ChangeFeed::Reset(const std::vector<StoreItem>& items,
+                       StorePosition position) {
   m_history.clear();
+  m_content.clear();
+  for (const StoreItem& item : items)
+    m_content.emplace(item.key, item);
   m_cached_after.reset();
   m_history_start = position;
   m_position = position;
@@ -116,6 +125,10 @@
 }
 
 void ChangeFeed::Add(const StoreItem& item) {
+  if (item.removed)
+    m_content.erase(item.key);
+  else
+    m_content[item.key] = item;
   m_history.push_back(item);
   if (m_history.size() > kFeedHistoryLength) {
     m_history_start = m_history.front().position();
@@ -151,6 +164,10 @@
     responder.Respond({.status = kOk, .body = EncodeFeedReply(CurrentState())});
     return;
   }
+  if (target == kContentTarget) {
+    RespondWithContent(responder);
+    return;
+  }
   if (m_call_handler && m_call_handler(request, responder))
     return;
   const std::optional<StorePosition> after =
@@ -195,6 +212,13 @@
   responder.Respond({.status = kOk, .body = m_cached_reply});
 }
 
+void ChangeFeed::RespondWithContent(Responder& responder) {
+  FeedReply reply = CurrentState();
+  for (const auto& [key, item] : m_content)
+    reply.changes.push_back(item);
+  responder.Respond({.status = kOk, .body = EncodeFeedReply(reply)});
+}
+
 void ChangeFeed::RespondToAll() {
   const auto waiters = std::exchange(m_waiters, {});
   for (const auto& [responder, waiter] : waiters)
--- a/src/gateway/change_feed.h
+++ b/src/gateway/change_feed.h
@@ -39,6 +39,9 @@
 StoreCall MakeChangesCall(StorePosition position, bool direct_only);
 // Asks for the current position; answered at once, without changes.
 StoreCall MakeRevisionCall();
+// Asks for all keys, as changes up to the position of the reply; answered at
+// once.
+StoreCall MakeContentCall();
 
 // Serves the changes that this instance has seen as long polls. A request is
 // held until a newer change is published, the reachability of the store
@@ -57,8 +60,9 @@
   void SetCallHandler(CallHandler handler) {
     m_call_handler = std::move(handler);
   }
-  // Clears the history, which starts again at `position`.
-  void Reset(StorePosition position);
+  // Clears the history, which starts again at `position` with the keys of
+  // `items`.
+  void Reset(const std::vector<StoreItem>& items, StorePosition position);
   // Appends a change to the history. Publish() sends it.
   void Add(const StoreItem& item);
   // States that all changes up to `position` were added, and answers the
@@ -75,6 +79,7 @@
 
   void OnRequest(const InboundRequest& request, Responder& responder);
   void RespondWithChanges(Responder& responder, StorePosition after);
+  void RespondWithContent(Responder& responder);
   FeedReply CurrentState() const {
     return {.store_reachable = m_store_reachable,
             .direct = m_direct,
@@ -91,6 +96,8 @@
   StorePosition m_history_start;
   StorePosition m_position;
   std::deque<StoreItem> m_history;
+  // All keys at m_position.
+  std::map<std::string, StoreItem> m_content;
   std::map<Responder*, Waiter> m_waiters;
   // Encoded reply for m_cached_after, the last position asked for. Most waiters
   // ask for the same position.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -280,7 +280,7 @@
   ReconcileQuarantine(items, position.era);
   CountInstances();
   if (m_change_feed != nullptr) {
-    m_change_feed->Reset(position);
+    m_change_feed->Reset(items, position);
     m_change_feed->SetStoreReachable(true);
   }
   m_log.Info("store_listed", {{"keys", items.size()},
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -4,8 +4,6 @@
 #include <stdexcept>
 #include <utility>
 
-#include "gateway/change_feed.h"
-
 namespace wasabihook::gateway {
 namespace {
 
@@ -175,7 +173,9 @@
 
 void StoreFollower::OnListReply(const std::optional<StoreReply>& reply) {
   if (!reply || reply->status != kOk) {
-    Retry("list", reply ? reply->status : 0, &StoreFollower::List);
+    m_selector->OnStoreFailure(m_context->loop->Now());
+    Retry("list", reply ? reply->status : 0,
+          m_has_listing ? &StoreFollower::ReadAgain : &StoreFollower::List);
     return;
   }
   StoreListing page;
@@ -219,7 +219,50 @@
     return;
   }
   m_next_page_after.clear();
-  m_position = m_list_position;
+  m_selector->OnStoreSuccess();
+  FinishListing(m_list_position);
+}
+
+void StoreFollower::ReadAgain() {
+  const FeedSource source = m_selector->Select(m_context->loop->Now());
+  SetDirect(source.is_store());
+  if (source.is_store()) {
+    ListAnew();
+    return;
+  }
+  ConnectToPeer(source);
+  m_peer_client->Call(
+      MakeContentCall(), kFeedTimeout,
+      [this](std::optional<StoreReply> reply) { OnContentReply(reply); });
+}
+
+void StoreFollower::OnContentReply(const std::optional<StoreReply>& reply) {
+  std::optional<FeedReply> feed =
+      ReadPeerReply(reply, &StoreFollower::ReadAgain);
+  if (!feed)
+    return;
+  if (!feed->store_reachable || (m_peer.direct_only && !feed->direct) ||
+      feed->position < m_position) {
+    m_selector->OnPeerUnusable(m_peer.address, m_context->loop->Now());
+    RetryAfterPeerFailure("the instance has not read the restored store",
+                          &StoreFollower::ReadAgain);
+    return;
+  }
+  m_context->log->Info("content_copied",
+                       {{"address", m_peer.address},
+                        {"keys", feed->changes.size()},
+                        {"era", feed->position.era.value()},
+                        {"revision", feed->position.revision.value()}});
+  m_selector->OnPeerSuccess(m_peer.address);
+  SetReachable();
+  m_items = std::move(feed->changes);
+  for (StoreItem& item : m_items)
+    item.listed = true;
+  FinishListing(feed->position);
+}
+
+void StoreFollower::FinishListing(StorePosition position) {
+  m_position = position;
   m_revision_check.SetPosition(m_position);
   m_hooks.on_listing(m_items, m_position);
   m_items.clear();
@@ -250,7 +293,7 @@
     CallPeer(source);
 }
 
-void StoreFollower::CallPeer(const FeedSource& source) {
+void StoreFollower::ConnectToPeer(const FeedSource& source) {
   if (m_peer_client == nullptr || m_peer.address != source.address) {
     m_context->log->Info("feed_followed",
                          {{"address", source.address},
@@ -263,6 +306,10 @@
         std::make_unique<StoreClient>(m_context->loop, source.address);
   }
   m_peer = source;
+}
+
+void StoreFollower::CallPeer(const FeedSource& source) {
+  ConnectToPeer(source);
   m_peer_client->Call(
       MakeChangesCall(m_position, source.direct_only), kFeedTimeout,
       [this](std::optional<StoreReply> reply) { OnPeerReply(reply); });
@@ -276,7 +323,8 @@
   Schedule(Duration(0), &StoreFollower::Follow);
 }
 
-void StoreFollower::RetryAfterPeerFailure(const char* reason) {
+void StoreFollower::RetryAfterPeerFailure(const char* reason,
+                                          void (StoreFollower::*step)()) {
   m_context->log->Warning("feed_failed",
                           {{"address", m_peer.address},
                            {"reason", reason},
@@ -292,42 +340,52 @@
     m_selector->OnStoreSuccess();
   // The other instance may recover soon. If all its followers turned to the
   // store at once, the store would get a burst of calls.
-  Schedule(Jittered(kStoreBackoff), &StoreFollower::Follow);
+  Schedule(Jittered(kStoreBackoff), step);
 }
 
-void StoreFollower::OnPeerReply(const std::optional<StoreReply>& reply) {
+std::optional<FeedReply> StoreFollower::ReadPeerReply(
+    const std::optional<StoreReply>& reply,
+    void (StoreFollower::*step)()) {
   const TimePoint now = m_context->loop->Now();
   if (!reply) {
     m_selector->OnPeerFailure(m_peer.address, now);
-    RetryAfterPeerFailure("no reply");
-    return;
+    RetryAfterPeerFailure("no reply", step);
+    return std::nullopt;
   }
-  FeedReply feed;
   try {
     if (reply->status != kOk)
       throw std::runtime_error("status " + std::to_string(reply->status));
-    feed = DecodeFeedReply(reply->body);
+    return DecodeFeedReply(reply->body);
   } catch (const std::exception& error) {
     // Status 410 means that the other instance's history starts after our
     // revision.
     m_selector->OnPeerUnusable(m_peer.address, now);
-    RetryAfterPeerFailure(error.what());
-    return;
+    RetryAfterPeerFailure(error.what(), step);
+    return std::nullopt;
   }
-  const ReplyEra era = JudgeEra(m_position.era, feed.position.era);
+}
+
+void StoreFollower::OnPeerReply(const std::optional<StoreReply>& reply) {
+  std::optional<FeedReply> feed = ReadPeerReply(reply, &StoreFollower::Follow);
+  if (!feed)
+    return;
+  const TimePoint now = m_context->loop->Now();
+  const ReplyEra era = JudgeEra(m_position.era, feed->position.era);
   if (era == ReplyEra::kRestored) {
-    OnRestored("feed", feed.position.era);
+    OnRestored("feed", feed->position.era);
     return;
   }
   if (era == ReplyEra::kStale) {
     m_selector->OnPeerUnusable(m_peer.address, now);
-    RetryAfterPeerFailure("the instance has not read the restored store");
+    RetryAfterPeerFailure("the instance has not read the restored store",
+                          &StoreFollower::Follow);
     return;
   }
-  ReportChanges(std::move(feed.changes), feed.position);
-  if (!feed.store_reachable || (m_peer.direct_only && !feed.direct)) {
+  ReportChanges(std::move(feed->changes), feed->position);
+  if (!feed->store_reachable || (m_peer.direct_only && !feed->direct)) {
     m_selector->OnPeerUnusable(m_peer.address, now);
-    RetryAfterPeerFailure("the instance has lost contact with the store");
+    RetryAfterPeerFailure("the instance has lost contact with the store",
+                          &StoreFollower::Follow);
     return;
   }
   m_selector->OnPeerSuccess(m_peer.address);
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -4,9 +4,11 @@
 // PRIVATE HEADER. Keeps this instance up to date with the key-value store.
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "gateway/change_feed.h"
 #include "gateway/feed_selector.h"
 #include "gateway/gateway_context.h"
 #include "gateway/platform_adapter.h"
@@ -60,6 +62,13 @@
   // The store was restored from an older copy; reads all keys again.
   void OnRestored(const char* source, StoreEra era);
   void OnListReply(const std::optional<StoreReply>& reply);
+  // Reads all keys again: from the store, or from another instance if the store
+  // does not answer this one.
+  void ReadAgain();
+  void OnContentReply(const std::optional<StoreReply>& reply);
+  void FinishListing(StorePosition position);
+  // Selects the instance to call next.
+  void ConnectToPeer(const FeedSource& source);
   // Waits for changes from the selected source.
   void Follow();
   void Watch();
@@ -74,7 +83,12 @@
   // reachable.
   void SetUnreachable(const char* call, int status);
   void OnPeerReply(const std::optional<StoreReply>& reply);
-  void RetryAfterPeerFailure(const char* reason);
+  // Decodes a reply of the instance called last. Excludes the instance for some
+  // time if there is none or it is malformed; returns nullopt then.
+  std::optional<FeedReply> ReadPeerReply(const std::optional<StoreReply>& reply,
+                                         void (StoreFollower::*step)());
+  // Repeats `step` after a short time, with another source if there is one.
+  void RetryAfterPeerFailure(const char* reason, void (StoreFollower::*step)());
   void ReportChanges(std::vector<StoreItem> changes, StorePosition position);
   void Schedule(Duration delay, void (StoreFollower::*step)());
   // Records a failed call and repeats `step` after an exponential backoff.
--- a/tests/gateway/restored_store_test.cc
+++ b/tests/gateway/restored_store_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,8 +31,12 @@
   // Bound for applying a configuration.
   static constexpr Duration kApplyTime = seconds(3);
 
-  void StartAll() {
+  // The instances of `at_other_address` use the other address of the store.
+  void StartAll(const std::set<size_t>& at_other_address = {}) {
     for (size_t i = 0; i < kInstances; ++i) {
+      m_settings.store_address = at_other_address.contains(i)
+                                     ? m_store.other_address()
+                                     : m_store.address();
       m_settings.instance = InstanceId("gateway-" + std::to_string(i));
       m_settings.data_centre = DataCentreId(i % 2 == 0 ? "a" : "b");
       m_gateways.push_back(StartOne());
@@ -125,6 +130,25 @@
     EXPECT_EQ(StatusOf(i, "GET /extra/q"), 200) << i;
 }
 
+// Guards against instances that the store turns away, the first of a data
+// centre and another: once others told them that the store was restored, they
+// waited for the store itself and got no further configuration.
+TEST_F(RestoredStoreTest, InstancesTurnedAwayReadFromOthers) {
+  const std::set<size_t> turned_away = {0, 4};
+  StartAll(turned_away);
+  const auto copy = m_store.TakeCopy();
+  PutConfig(2);
+  m_store.SetOtherRefusing(true);
+  Wait(milliseconds(2500));
+  Restore(*copy);
+  m_store.RepeatLostChanges();
+  Wait(milliseconds(2500));
+  PutConfig(3, true);
+  Wait(kApplyTime);
+  for (size_t i = 0; i < kInstances; ++i)
+    EXPECT_EQ(StatusOf(i, "GET /extra/q"), 200) << i;
+}
+
 // Guards against instances that don't know of each other because their entries
 // were lost with the leases.
 TEST_F(RestoredStoreTest, InstancesRegisterAgainAtOnce) {
