Let a slow listing come to its end after the store was restored

Callers would see: with a slow store or many keys, an instance that learned that the store was restored reads it again and again and never gets further configurations (404 on a route that was added).

Cause: a ping beside the listing shows the later era as well, or a newer revision, and each time the listing was abandoned and started anew. It has to end within the period of the pings (0.8 s); a store that is 50 times slower takes 0.2 s for each page. A newer revision had the same effect after a gap in the history, before eras were known.

Change: while all keys are being read again, what is newer elsewhere is expected and changes nothing. The next ping or watch after the listing shows it.

--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -101,6 +101,8 @@
   if (reply && reply->status == kOk) {
     m_context->metrics->CountStoreCall("ping", "ok");
     SetReachable();
+    if (m_rereading)
+      return;
     if (JudgeEra(m_position.era, reply->era) == ReplyEra::kRestored) {
       m_client.Cancel();
       OnRestored("ping", *reply->era);
@@ -129,6 +131,7 @@
 }
 
 void StoreFollower::ListAnew() {
+  m_rereading = true;
   m_next_page_after.clear();
   m_items.clear();
   List();
@@ -262,6 +265,7 @@
 }
 
 void StoreFollower::FinishListing(StorePosition position) {
+  m_rereading = false;
   m_position = position;
   m_revision_check.SetPosition(m_position);
   m_hooks.on_listing(m_items, m_position);
@@ -285,6 +289,7 @@
 }
 
 void StoreFollower::Follow() {
+  m_rereading = false;
   const FeedSource source = m_selector->Select(m_context->loop->Now());
   SetDirect(source.is_store());
   if (source.is_store())
@@ -316,7 +321,7 @@
 }
 
 void StoreFollower::OnStalledWatch() {
-  if (!m_client.Cancel())
+  if (m_rereading || !m_client.Cancel())
     return;
   m_selector->OnStoreFailure(m_context->loop->Now());
   m_short_watches = kStoreShortWatchCount;
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -116,6 +116,8 @@
   StorePosition m_position;
   std::string m_next_page_after;
   bool m_has_listing = false;
+  // All keys are being read again, so that what is newer elsewhere is expected.
+  bool m_rereading = false;
   bool m_store_reachable = true;
   TimePoint m_last_reply_at;
   Duration m_backoff{0};
--- a/tests/gateway/restored_store_test.cc
+++ b/tests/gateway/restored_store_test.cc
@@ -149,6 +149,20 @@
     EXPECT_EQ(StatusOf(i, "GET /extra/q"), 200) << i;
 }
 
+// Guards against a listing that takes longer than the period of the pings and
+// is started anew by each of them.
+TEST_F(RestoredStoreTest, SlowListingComesToItsEnd) {
+  Start();
+  const auto copy = m_store.TakeCopy();
+  m_store.SetListingDelay(milliseconds(200));
+  PutConfig(2);
+  Wait(milliseconds(800));
+  Restore(*copy);
+  PutConfig(3, true);
+  Wait(seconds(5));
+  EXPECT_EQ(SendRequest("GET /extra/q").status, 200);
+}
+
 // Guards against instances that don't know of each other because their entries
 // were lost with the leases.
 TEST_F(RestoredStoreTest, InstancesRegisterAgainAtOnce) {
