Assume the demand of instances that are not heard, in the share of a limit

Cause: where an instance sees a server rarely, it sends a request with a probability that follows from the demand of the fleet. The demand is added up along the tree of the feed. When data centres are cut off or their first instances stop, each part of the fleet adds up its own and takes it for the whole, so that each part sends as much as all together may.

Change: the demand that is passed on says how many instances it covers. If these are fewer than there are, the demand is scaled up.

Evidence: LimitedServerTest.HoldsWhilePartsOfTheFleetDontHearEachOther failed on the previous code for 295 instances in six parts (89 requests, 65 allowed) and passes.

--- a/src/gateway/fleet_message.cc
+++ b/src/gateway/fleet_message.cc
@@ -15,6 +15,7 @@
 constexpr const char* kSurvivals = "survivals";
 constexpr const char* kLimits = "limits";
 constexpr const char* kDemand = "demand";
+constexpr const char* kDemandInstances = "demand_instances";
 
 int64_t AgeMillis(TimePoint at, TimePoint now) {
   return std::max<int64_t>((now - at).count() / 1000, 0);
@@ -68,8 +69,10 @@
     out[kObservations] =
         json::binary(std::vector<uint8_t>(text.begin(), text.end()));
   }
-  for (const auto& [server, per_second] : message.demand)
+  for (const auto& [server, per_second] : message.demand.per_second)
     out[kDemand].push_back({server.value(), per_second});
+  if (message.demand.instances > 0)
+    out[kDemandInstances] = message.demand.instances;
   for (const CrashReport& crash : message.crash_news.crashes)
     out[kCrashes].push_back({crash.fingerprint.value(), crash.service.value(),
                              crash.server.value(), crash.caller_attempt.value(),
@@ -100,8 +103,9 @@
   out.crash_news = DecodeCrashNews(in, now);
   out.limits = DecodeLimits(in, now);
   for (const json& item : in.value(kDemand, json::array()))
-    out.demand[ServerKey(item.at(0).get<uint32_t>())] =
+    out.demand.per_second[ServerKey(item.at(0).get<uint32_t>())] =
         std::max(item.at(1).get<double>(), 0.0);
+  out.demand.instances = in.value(kDemandInstances, uint32_t{0});
   return out;
 }
 
--- a/src/gateway/server_demand.cc
+++ b/src/gateway/server_demand.cc
@@ -6,8 +6,9 @@
 namespace wasabihook::gateway {
 
 void MergeDemand(DemandDigest& into, const DemandDigest& from) {
-  for (const auto& [server, per_second] : from)
-    into[server] += per_second;
+  for (const auto& [server, per_second] : from.per_second)
+    into.per_second[server] += per_second;
+  into.instances += from.instances;
 }
 
 void LocalDemand::Advance(TimePoint now) {
@@ -37,9 +38,9 @@
   constexpr Duration kSlice = kDemandWindow / kSlices;
   const Duration window = kSlice * (kSlices - 1) + now.since_epoch % kSlice;
   const double window_seconds = static_cast<double>(window.count()) / 1e6;
-  DemandDigest out;
+  DemandDigest out{.per_second = {}, .instances = 1};
   for (const auto& [server, counts] : m_servers)
-    out[server] =
+    out.per_second[server] =
         std::accumulate(counts.begin(), counts.end(), 0.0) / window_seconds;
   return out;
 }
--- a/src/gateway/server_demand.h
+++ b/src/gateway/server_demand.h
@@ -13,8 +13,12 @@
 
 namespace wasabihook::gateway {
 
-// Requests per second that would be sent to each server without its limit.
-using DemandDigest = std::unordered_map<ServerKey, double>;
+struct DemandDigest {
+  // Requests per second that would be sent to each server without its limit.
+  std::unordered_map<ServerKey, double> per_second;
+  // Number of instances whose demand this is.
+  uint32_t instances = 0;
+};
 
 void MergeDemand(DemandDigest& into, const DemandDigest& from);
 
--- a/src/gateway/server_limits.cc
+++ b/src/gateway/server_limits.cc
@@ -42,17 +42,20 @@
                           TimePoint now) const {
   return Rate(limit) < kMinBucketRate &&
          now - m_total_demand_at <= kObservationExpiry &&
-         m_total_demand.contains(server);
+         m_total_demand.per_second.contains(server);
 }
 
 void ServerLimits::SetTotalDemand(DemandDigest total, TimePoint now) {
   // The average smooths the noise of thin traffic; the newest value shows a
   // spike.
+  const double unheard = std::max(
+      1.0, static_cast<double>(m_instances) / std::max(total.instances, 1U));
   DemandDigest average;
-  for (const auto& [server, per_second] : total) {
-    const auto known = m_average_demand.find(server);
-    average[server] =
-        known == m_average_demand.end()
+  for (auto& [server, per_second] : total.per_second) {
+    per_second *= unheard;
+    const auto known = m_average_demand.per_second.find(server);
+    average.per_second[server] =
+        known == m_average_demand.per_second.end()
             ? per_second
             : known->second + kDemandWeight * (per_second - known->second);
   }
@@ -71,8 +74,8 @@
     return;
   const double most =
       kThinLimitShare * std::max(*limit.per_second, kMinServerLimit);
-  const double newest = m_total_demand.at(server);
-  const double average = m_average_demand.at(server);
+  const double newest = m_total_demand.per_second.at(server);
+  const double average = m_average_demand.per_second.at(server);
   // After a spike, less is sent for a while, to make up for what was sent
   // before its demand was known.
   const double demand = newest > kDemandSpikeFactor * average
--- a/src/gateway/server_limits.h
+++ b/src/gateway/server_limits.h
@@ -57,7 +57,8 @@
   void OnSend(ServerKey server, TimePoint now);
 
   FleetDemand& fleet_demand() { return m_fleet_demand; }
-  // Demand of the fleet, for this instance's share of each limit.
+  // Demand of the fleet, for this instance's share of each limit. If it covers
+  // a part of the instances, the others are assumed to have as much.
   void SetTotalDemand(DemandDigest total, TimePoint now);
 
   // Returns the number of limits that changed.
--- a/tests/gateway/request_quarantine_test.cc
+++ b/tests/gateway/request_quarantine_test.cc
@@ -515,7 +515,7 @@
   message.limits = {
       {.server = Server(3), .per_second = 12.5, .at = now - seconds(2)},
       {.server = Server(4), .per_second = std::nullopt, .at = now}};
-  message.demand = {{Server(3), 7.25}};
+  message.demand = {.per_second = {{Server(3), 7.25}}, .instances = 5};
   const std::string text = EncodeFleetMessage(message, now);
   const FleetMessage decoded = DecodeFleetMessage(text, now + seconds(1));
   EXPECT_TRUE(decoded.wants_all);
@@ -530,7 +530,8 @@
   EXPECT_EQ(decoded.limits[0].per_second, 12.5);
   EXPECT_EQ(decoded.limits[0].at, now - seconds(1));
   EXPECT_FALSE(decoded.limits[1].per_second.has_value());
-  EXPECT_EQ(decoded.demand.at(Server(3)), 7.25);
+  EXPECT_EQ(decoded.demand.per_second.at(Server(3)), 7.25);
+  EXPECT_EQ(decoded.demand.instances, 5U);
   for (size_t length = 0; length < text.size(); ++length)
     EXPECT_ANY_THROW(DecodeFleetMessage(text.substr(0, length), now));
   EXPECT_ANY_THROW(DecodeFleetMessage("{\"crashes\":[[1]]}", now));
--- a/tests/gateway/server_limits_test.cc
+++ b/tests/gateway/server_limits_test.cc
@@ -110,15 +110,16 @@
       for (const LimitStatement& statement : instance->NewsSince(TimePoint()))
         known.push_back(statement);
     }
-    // The demand takes another second to become known everywhere.
-    DemandDigest total;
-    for (const auto& instance : m_fleet)
-      MergeDemand(total, instance->fleet_demand().Subtree(m_now));
-    for (const auto& instance : m_fleet) {
-      instance->Merge(known, m_now);
-      instance->SetTotalDemand(m_last_demand, m_now);
+    // The demand takes another second to become known everywhere in a part.
+    std::vector<DemandDigest> totals(m_parts);
+    m_last_demand.resize(m_parts);
+    for (size_t i = 0; i < m_fleet.size(); ++i) {
+      MergeDemand(totals[i % m_parts],
+                  m_fleet[i]->fleet_demand().Subtree(m_now));
+      m_fleet[i]->Merge(known, m_now);
+      m_fleet[i]->SetTotalDemand(m_last_demand[i % m_parts], m_now);
     }
-    m_last_demand = std::move(total);
+    m_last_demand = std::move(totals);
   }
 
   size_t SentBetween(TimePoint from, TimePoint to) const {
@@ -147,7 +148,9 @@
   std::vector<std::unique_ptr<ServerLimits>> m_fleet;
   std::vector<TimePoint> m_sent;
   size_t m_demand = 0;
-  DemandDigest m_last_demand;
+  // Parts of the fleet that don't hear of each other's demand.
+  size_t m_parts = 1;
+  std::vector<DemandDigest> m_last_demand;
   TimePoint m_now = At(seconds(0));
 };
 
@@ -185,6 +188,25 @@
   EXPECT_LE(static_cast<double>(MostInWindow(from)), Allowed());
 }
 
+// Guards against parts of the fleet that are cut off from each other, of which
+// each takes its own demand for that of the fleet (soak, seed 301).
+TEST_P(LimitedServerTest, HoldsWhilePartsOfTheFleetDontHearEachOther) {
+  const LimitLoad& load = GetParam();
+  Run(seconds(10), load.demand_per_second);
+  m_limit = load.limit_per_second;
+  Run(seconds(5), load.demand_per_second);
+  m_parts = 6;
+  m_last_demand.clear();
+  Exchange();
+  const TimePoint from = m_now;
+  Run(seconds(60), load.demand_per_second);
+  m_parts = 1;
+  m_last_demand.clear();
+  Exchange();
+  Run(seconds(10), load.demand_per_second);
+  EXPECT_LE(static_cast<double>(MostInWindow(from)), Allowed());
+}
+
 // Guards against a limit that outlives what the server says.
 TEST_P(LimitedServerTest, EndsWhenTheServerStopsNamingIt) {
   const LimitLoad& load = GetParam();
