Take a cautious share of limits while the fleet is not known

Cause: the share of an instance is the limit divided by the instances that the registry lists. Instances that start together read it before the others have registered; if the store is lost then, each takes itself for the only one.

Change: FleetSize. An instance knows its fleet once it has read the store 3 s after it registered, or if its entry of before was there (it starts again among others that are listed). Until then it divides limits among 3,000 instances, above the largest fleet that is planned.

The fixture of the limit tests now waits until the instances know each other before a server names a limit; the bounds are as before.

The slack of the retry budget is still divided by the listed instances: with the cautious number a single instance would neither hedge nor retry in its first seconds.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -104,6 +104,7 @@
            .on_change = [this](const StoreItem& item) { OnChange(item); },
            .on_caught_up =
                [this](StorePosition position) { OnCaughtUp(position); },
+           .on_store_contact = [this] { OnStoreContact(); },
            .on_store_unreachable =
                [this] {
                  if (m_change_feed != nullptr)
@@ -292,12 +293,15 @@
     m_registration.OnStoreRestored();
   if (!std::exchange(m_has_listing, true)) {
     m_observations.ExchangeSoon();
+    const bool replaces_entry = m_feed_selector.Has(m_settings.instance);
+    m_fleet_size.OnRegistering(m_loop->Now(), replaces_entry);
     m_registration.Start(
         EncodeInstance({.data_centre = m_settings.data_centre,
                         .feed_address = m_change_feed != nullptr
                                             ? m_change_feed->address()
                                             : ""}),
-        m_feed_selector.Has(m_settings.instance));
+        replaces_entry);
+    CountInstances();
   }
 }
 
@@ -471,8 +475,19 @@
 
 void Gateway::CountInstances() {
   m_feed_selector.Prune(m_loop->Now());
-  m_directory.SetInstanceCount(
-      static_cast<uint32_t>(m_feed_selector.other_count() + 1));
+  const auto listed = static_cast<uint32_t>(m_feed_selector.other_count() + 1);
+  m_directory.SetInstanceCount(listed);
+  m_limits.SetInstances(m_fleet_size.Estimate(listed));
+}
+
+void Gateway::OnStoreContact() {
+  if (m_fleet_size.known())
+    return;
+  m_fleet_size.OnStoreContact(m_loop->Now());
+  if (!m_fleet_size.known())
+    return;
+  CountInstances();
+  m_log.Info("fleet_known", {{"instances", m_feed_selector.other_count() + 1}});
 }
 
 void Gateway::UpdateGauges() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/change_feed.h"
 #include "gateway/exchange.h"
 #include "gateway/feed_selector.h"
+#include "gateway/fleet_size.h"
 #include "gateway/gateway_context.h"
 #include "gateway/instance_registration.h"
 #include "gateway/observation_exchange.h"
@@ -73,6 +74,7 @@
   // Drops or writes again quarantined requests that the store does not list.
   void ReconcileQuarantine(const std::vector<StoreItem>& items, StoreEra era);
   void CountInstances();
+  void OnStoreContact();
   void OnCaughtUp(StorePosition position);
   void UpdateGauges();
 
@@ -103,6 +105,7 @@
   std::vector<TimerHandle> m_timers;
   bool m_has_listing = false;
   StorePosition m_store_position;
+  FleetSize m_fleet_size;
   std::optional<TimePoint> m_drain_started;
   CallerListener m_caller_listener;
   CallerListener m_readiness_listener;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -199,6 +199,12 @@
 // average from which the newest value counts instead.
 inline constexpr double kDemandWeight = 0.25;
 inline constexpr double kDemandSpikeFactor = 1.5;
+// Time after its registration in which an instance finds those that start with
+// it: they start within a second, and a change takes less than a second to the
+// last level of the feed. Before it has read the store after that time, it
+// assumes a fleet of at least this many, above the largest that is planned.
+inline constexpr Duration kFleetDiscoveryTime = seconds(3);
+inline constexpr uint32_t kUnknownFleetSize = 3000;
 // Requests per second that a server gets at least, so that an answer of it
 // shows when its limit ends.
 inline constexpr double kMinServerLimit = 0.2;
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -60,7 +60,6 @@
   m_context->log->Info("instances_changed",
                        {{"from", m_instances}, {"to", instances}});
   m_instances = instances;
-  m_context->limits->SetInstances(instances);
   m_instances_changed_at = m_context->loop->Now();
   UpdateServiceShares();
 }
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -56,6 +56,7 @@
   const TimePoint now = m_context->loop->Now();
   const Duration outage = now - m_last_reply_at;
   m_last_reply_at = now;
+  m_hooks.on_store_contact();
   if (m_store_reachable)
     return;
   m_store_reachable = true;
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -25,6 +25,8 @@
   std::function<void(const StoreItem&)> on_change;
   // All changes up to this position were reported.
   std::function<void(StorePosition)> on_caught_up;
+  // The store answered, or an instance that is in contact with it.
+  std::function<void()> on_store_contact;
   // The store became unreachable or reachable again, directly or through
   // another instance.
   std::function<void()> on_store_unreachable;
--- a/tests/gateway/server_limit_fleet_test.cc
+++ b/tests/gateway/server_limit_fleet_test.cc
@@ -44,8 +44,13 @@
                      {"limits", json::object()}}
                     .dump());
     m_gateways.resize(kInstances);
-    for (size_t i = 0; i < kInstances; ++i)
+    for (size_t i = 0; i < kInstances; ++i) {
       StartInstance(i);
+      WaitUntilReady(i);
+    }
+    // Until the instances know that they are all.
+    RunUntil(
+        m_loop, [] { return false; }, kFleetDiscoveryTime + seconds(2));
   }
 
   void StartInstance(size_t index) {
@@ -61,6 +66,9 @@
         &m_loop, settings, "/nonexistent",
         platform_adapter::MakePlatformAdapter(),
         platform_adapter::MakeStoreCodec(), MakeRandomSource(index));
+  }
+
+  void WaitUntilReady(size_t index) {
     ASSERT_TRUE(
         RunUntil(m_loop, [this, index] { return m_gateways[index]->ready(); }));
   }
@@ -166,6 +174,28 @@
   EXPECT_LE(MostInWindow(named_at + kLearningTime), Allowed());
 }
 
+// Guards against instances that lose the store before they have found each
+// other, of which each took the whole limit.
+TEST_F(ServerLimitTest, HoldsBetweenInstancesThatDontKnowEachOther) {
+  for (size_t i = 0; i < kInstances; ++i) {
+    m_gateways[i].reset();
+    m_store.Remove("wasabihook/instances/gateway-" + std::to_string(i));
+  }
+  for (size_t i = 0; i < kInstances; ++i)
+    StartInstance(i);
+  for (size_t i = 0; i < kInstances; ++i)
+    WaitUntilReady(i);
+  m_store.SetRefusing(true);
+  m_server->SetLimit(kLimitPerSecond);
+  const TimePoint named_at = m_loop.Now();
+  Drive(seconds(6));
+  EXPECT_LE(MostInWindow(named_at + kLearningTime), Allowed());
+  // Once they have found each other, most of what the server takes is used.
+  m_store.SetRefusing(false);
+  Drive(kFleetDiscoveryTime);
+  EXPECT_GE(Drive(seconds(5)), static_cast<size_t>(0.6 * kLimitPerSecond * 5));
+}
+
 // Guards against an instance that has just started and does not know of the
 // limit.
 TEST_F(ServerLimitTest, IsKnownToAnInstanceThatStarts) {
@@ -174,6 +204,7 @@
   Drive(seconds(2));
   for (size_t i = 0; i < kInstances; ++i) {
     StartInstance(i);
+    WaitUntilReady(i);
     Drive(seconds(1));
   }
   EXPECT_LE(MostInWindow(named_at + kLearningTime), Allowed());
