Restore the store from older copies in the soak, and check versions in force

The soak keeps copies of the store of the last ten seconds. Every 5.3 s the store is away for up to 1.5 s and comes back from one of them; up to 0.5 s later what operators and servers wrote since is written again. Draws have a generator of their own, so the other faults of a seed stay the same.

New checks: a process that was in touch has the route of the newest version 3 s after it was accepted; a process that has served a version does not lose it before a newer one.

--- a/programs/wasabihook-soak/soak.cc
+++ b/programs/wasabihook-soak/soak.cc
@@ -47,6 +47,16 @@
 constexpr Duration kToldBefore = milliseconds(500);
 constexpr double kLimitTolerance = 1.5;
 constexpr size_t kLimitSlack = 5;
+// Copies of the store that are kept and how often it comes back from one. A
+// change must be in force in processes that were in touch within the apply
+// time.
+constexpr Duration kStoreCopyPeriod = milliseconds(400);
+constexpr size_t kStoreCopies = 24;
+constexpr Duration kRestorePeriod = milliseconds(5300);
+constexpr Duration kMaxRestoreOutage = milliseconds(1500);
+constexpr Duration kMaxRepeatDelay = milliseconds(500);
+constexpr Duration kVersionRequestPeriod = milliseconds(150);
+constexpr Duration kConfigApplyTime = seconds(3);
 constexpr const char* kDataCentres[] = {"a", "b", "c"};
 constexpr size_t kDataCentreCount = std::size(kDataCentres);
 // Requests sent in each period of a burst, and its length.
@@ -75,6 +85,7 @@
 Soak::Soak(SoakOptions options)
     : m_options(std::move(options)),
       m_random(m_options.seed),
+      m_restore_random(m_options.seed),
       m_store(&m_loop),
       m_crashing_requests{{.target = kCrashTarget},
                           {.target = kSometimesCrashTarget,
@@ -145,6 +156,7 @@
 // that CheckRecovery() can tell which version a gateway serves.
 void Soak::PutConfig() {
   ++m_version;
+  m_config_put_at = m_loop.Now();
   RouteDocument search;
   search.name = "search";
   search.path_prefix = "/search/";
@@ -225,6 +237,7 @@
   Pending pending;
   pending.gateway = RandomIndex(m_gateways.size());
   pending.kind = Kind::kCrash;
+  ++m_result.requests;
   pending.id = "c" + std::to_string(m_next_id++);
   pending.sent_at = m_loop.Now();
   pending.caller = TakeCaller(m_gateways[pending.gateway]);
@@ -253,6 +266,81 @@
   }
 }
 
+void Soak::TakeStoreCopy() {
+  m_store_copies.push_back(
+      {.taken_at = m_loop.Now(), .content = m_store.TakeCopy()});
+  if (m_store_copies.size() > kStoreCopies)
+    m_store_copies.pop_front();
+}
+
+void Soak::RestoreStore() {
+  if (!m_inject_faults || m_store_copies.empty())
+    return;
+  const auto random_time = [this](Duration most) {
+    return Duration(static_cast<int64_t>(m_restore_random() %
+                                         static_cast<uint64_t>(most.count())));
+  };
+  ++m_result.restores;
+  m_store_disturbed_at = m_loop.Now();
+  const size_t index = m_restore_random() % m_store_copies.size();
+  const auto copy = m_store_copies[index].content;
+  // A later restore can't be from a copy of what was lost.
+  m_store_copies.erase(
+      m_store_copies.begin() + static_cast<ptrdiff_t>(index) + 1,
+      m_store_copies.end());
+  m_store.SetRefusing(true);
+  m_loop.SubscribeOnce(
+      random_time(kMaxRestoreOutage), [this, copy, random_time] {
+        m_store.Restore(*copy);
+        m_store.SetRefusing(false);
+        m_store_disturbed_at = m_loop.Now();
+        m_loop.SubscribeOnce(random_time(kMaxRepeatDelay), [this] {
+          m_store.RepeatLostChanges();
+          m_store_disturbed_at = m_loop.Now();
+        });
+      });
+}
+
+void Soak::SendVersionRequest() {
+  Pending pending;
+  pending.gateway = RandomIndex(m_gateways.size());
+  pending.kind = Kind::kVersion;
+  pending.id = "v" + std::to_string(m_next_id++);
+  pending.sent_at = m_loop.Now();
+  pending.version = m_version;
+  ++m_result.requests;
+  pending.caller = TakeCaller(m_gateways[pending.gateway]);
+  pending.caller->Send(RequestHead("GET /v" + std::to_string(m_version) + "/q",
+                                   pending.id, kDeadline));
+  m_pending.push_back(std::move(pending));
+}
+
+void Soak::CheckVersion(const Pending& pending) {
+  constexpr int kNotFound = 404;
+  Instance& instance = m_gateways[pending.gateway];
+  const int status = pending.caller->reply().status;
+  if (status != kNotFound) {
+    if (status == 200 && instance.UndisturbedSince(pending.sent_at))
+      instance.served_version =
+          std::max(instance.served_version, pending.version);
+    return;
+  }
+  // A newer version drops the route.
+  if (pending.version != m_version)
+    return;
+  const std::string what = pending.id + ": " + instance.process->id() +
+                           " has no route of version " +
+                           std::to_string(pending.version);
+  if (instance.served_version >= pending.version &&
+      instance.UndisturbedSince(pending.sent_at))
+    ReportViolation(what + ", which it has served before");
+  const TimePoint calm_since = pending.sent_at - kLearningTime;
+  if (pending.sent_at - m_config_put_at > kConfigApplyTime &&
+      instance.UndisturbedSince(calm_since) &&
+      m_store_disturbed_at < calm_since)
+    ReportViolation(what + " in time");
+}
+
 void Soak::StartLimit() {
   if (!m_inject_faults)
     return;
@@ -371,6 +459,9 @@
     case Kind::kWrite:
       CheckWrite(pending);
       break;
+    case Kind::kVersion:
+      CheckVersion(pending);
+      break;
     case Kind::kCrash:
       break;
   }
@@ -589,6 +680,7 @@
     instance.terminating = false;
     instance.stopped = false;
     instance.killed = false;
+    instance.served_version = 0;
     instance.last_disturbance = m_loop.Now();
     instance.process->Start();
   }
@@ -640,6 +732,10 @@
                                 SendCrashingRequest(request);
                             }),
       m_loop.SubscribeEvery(kLimitPeriod, [this] { StartLimit(); }),
+      m_loop.SubscribeEvery(kStoreCopyPeriod, [this] { TakeStoreCopy(); }),
+      m_loop.SubscribeEvery(kRestorePeriod, [this] { RestoreStore(); }),
+      m_loop.SubscribeEvery(kVersionRequestPeriod,
+                            [this] { SendVersionRequest(); }),
       m_loop.SubscribeEvery(kFaultPeriod, [this] { InjectFault(); }),
       m_loop.SubscribeEvery(kCheckPeriod, [this] {
         CollectAnswers();
--- a/programs/wasabihook-soak/soak.h
+++ b/programs/wasabihook-soak/soak.h
@@ -2,6 +2,7 @@
 #define PROGRAMS_WASABIHOOK_SOAK_SOAK_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -32,6 +33,8 @@
   uint64_t crashes = 0;
   // Limits that servers named.
   uint64_t limits = 0;
+  // Times that the store came back from an older copy.
+  uint64_t restores = 0;
   // Violated guarantees, in the order of detection.
   std::vector<std::string> violations;
 };
@@ -49,7 +52,7 @@
   SoakResult Run();
 
  private:
-  enum class Kind : uint8_t { kSearch, kWrite, kCrash };
+  enum class Kind : uint8_t { kSearch, kWrite, kCrash, kVersion };
 
   // Request in flight.
   struct Pending {
@@ -58,6 +61,8 @@
     Kind kind = Kind::kSearch;
     size_t gateway = 0;
     TimePoint sent_at;
+    // With kVersion: the configuration version whose route is asked for.
+    int version = 0;
   };
   using CallerPtr = std::unique_ptr<gateway::testing::FakeCaller>;
   // A gateway process, and the signals that the soak has sent to it.
@@ -72,6 +77,9 @@
     bool terminating = false;
     // SIGKILL was sent and the process has not been reaped.
     bool killed = false;
+    // Newest configuration version that the process was seen to serve since it
+    // started.
+    int served_version = 0;
 
     // True if the process has run without signals or restarts since `time`.
     bool UndisturbedSince(TimePoint time) const {
@@ -105,6 +113,14 @@
   void SendCrashingRequest(CrashingRequest& request);
   void RestartServers();
   void CheckCrashingRequest(const CrashingRequest& request);
+  // The store is away for a moment and comes back from a copy of some seconds
+  // ago; then what operators and servers wrote since is written again.
+  void TakeStoreCopy();
+  void RestoreStore();
+  // Asks a process for the route of the newest configuration version.
+  void SendVersionRequest();
+  // Each version has to be in force in time, and must not go back.
+  void CheckVersion(const Pending& pending);
   // Lets a server name a limit for some time, and checks what it got.
   void StartLimit();
   void EndLimit(size_t server);
@@ -129,6 +145,9 @@
 
   const SoakOptions m_options;
   std::mt19937_64 m_random;
+  // Draws for the restores of the store, so that they don't change the other
+  // faults of a seed.
+  std::mt19937_64 m_restore_random;
   gateway::EventLoop m_loop;
   gateway::testing::FakeStoreServer m_store;
   std::vector<std::unique_ptr<gateway::testing::FakeBackendServer>> m_servers;
@@ -138,6 +157,12 @@
   std::map<size_t, TimePoint> m_restarts;
   std::vector<CrashingRequest> m_crashing_requests;
   TimePoint m_store_disturbed_at;
+  struct StoreCopy {
+    TimePoint taken_at;
+    std::shared_ptr<const gateway::testing::FakeStoreServer::Copy> content;
+  };
+  std::deque<StoreCopy> m_store_copies;
+  TimePoint m_config_put_at;
   // When each limited server named its limit. Its link and its answers are left
   // in order meanwhile.
   std::map<size_t, TimePoint> m_limited;
