Decide the availability of a server in one module

No change of behaviour. Whether a server leaves, was taken over at its address or is down was kept in three places and combined in five expressions of the same meaning. ServerAvailability keeps and decides it, without a network; first attempts, retries, hedges, warm-ups, limits and the wait for capacity ask it.

--- a/src/gateway/backend_server.cc
+++ b/src/gateway/backend_server.cc
@@ -72,7 +72,7 @@
   m_entry = std::move(entry);
   m_key = MakeServerKey(m_entry.id, m_entry.started_at_ms);
   m_warm_up_end = m_context->loop->Now() + m_entry.warm_up_left;
-  m_health.OnNewEntry();
+  m_availability.OnNewEntry();
   if (!restarted)
     return;
   m_health.Reset();
@@ -80,8 +80,7 @@
 }
 
 void BackendServer::StartDraining(TimePoint now) {
-  if (!m_draining_since)
-    m_draining_since = now;
+  m_availability.OnLeaving(now);
   CloseIdle();
 }
 
@@ -496,14 +495,14 @@
 // Logs once per pause, since several requests may reach the wrong server at the
 // same time.
 void BackendServer::RecordMisdirected(TimePoint now) {
-  if (!m_health.misdirected(now))
+  if (!m_availability.IsMisdirected(now))
     m_context->log->Warning("server_misdirected",
                             {{"server", m_entry.id.value()},
                              {"service", m_entry.service.value()},
                              {"address", m_entry.address},
                              {"pause_ms", kMisdirectedPause.count() / 1000}});
   m_health.OnRefusal(now);
-  m_health.OnMisdirected(now);
+  m_availability.OnMisdirected(now);
 }
 
 void BackendServer::OnRequestEnd(ServerConnection& connection,
--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -11,6 +11,7 @@
 
 #include "gateway/gateway_context.h"
 #include "gateway/platform_adapter.h"
+#include "gateway/server_availability.h"
 #include "gateway/server_connection.h"
 #include "gateway/server_health.h"
 
@@ -99,9 +100,19 @@
   // Stops new requests because the server is draining or was removed, and
   // closes its idle connections. Outstanding requests are completed.
   void StartDraining(TimePoint now);
-  void StopDraining() { m_draining_since.reset(); }
-  bool draining() const { return m_draining_since.has_value(); }
-  std::optional<TimePoint> draining_since() const { return m_draining_since; }
+  void StopDraining() { m_availability.OnListedReady(); }
+  bool draining() const { return m_availability.leaving(); }
+
+  Availability AvailabilityAt(TimePoint now) const {
+    return m_availability.At(now, m_health.down());
+  }
+  bool IsSound(TimePoint now) const {
+    return AvailabilityAt(now) == Availability::kSound;
+  }
+  // See ServerAvailability::IsUsable().
+  bool IsUsable(TimePoint now, bool others) const {
+    return m_availability.IsUsable(now, others);
+  }
 
   // The server names a limit, and whether this instance's share of it allows a
   // request now.
@@ -194,7 +205,7 @@
   uint32_t m_connection_limit = 1;
   uint32_t m_outstanding = 0;
   TimePoint m_warm_up_end;
-  std::optional<TimePoint> m_draining_since;
+  ServerAvailability m_availability;
 };
 
 }  // namespace wasabihook::gateway
--- a/src/gateway/server_health.cc
+++ b/src/gateway/server_health.cc
@@ -41,10 +41,6 @@
   m_failure_share = MovingAverage(m_failure_share, 1);
 }
 
-void ServerHealth::OnMisdirected(TimePoint now) {
-  m_misdirected_until = now + kMisdirectedPause;
-}
-
 void ServerHealth::OnBrokenConnection() {
   m_failure_share = MovingAverage(m_failure_share, 1);
 }
--- a/src/gateway/server_health.h
+++ b/src/gateway/server_health.h
@@ -4,7 +4,6 @@
 // PRIVATE HEADER.
 
 #include <cstdint>
-#include <optional>
 
 #include "gateway/gateway_settings.h"
 #include "wasabihook/units.h"
@@ -23,10 +22,6 @@
                TimePoint now);
   // The server refused a request without running it.
   void OnRefusal(TimePoint now);
-  // Another server answered at the address.
-  void OnMisdirected(TimePoint now);
-  // The registry has a newer entry; the server may be back at its address.
-  void OnNewEntry() { m_misdirected_until.reset(); }
   // A connection broke or carried an invalid reply.
   void OnBrokenConnection();
   // A connection could not be opened, or the server stopped replying. It is
@@ -44,11 +39,6 @@
   // True while the server refuses connections or does not reply. A probe is due
   // after each backoff.
   bool down() const { return m_down; }
-  // True for kMisdirectedPause after another server answered at the address. A
-  // request sent there would count as a repeat at the service of that server.
-  bool misdirected(TimePoint now) const {
-    return m_misdirected_until && now < *m_misdirected_until;
-  }
   bool ProbeDue(TimePoint now) const { return m_down && now >= m_probe_at; }
   void StartProbe(TimePoint now) { m_probe_at = now + m_backoff; }
   TimePoint last_reply() const { return m_last_reply; }
@@ -68,7 +58,6 @@
   Duration m_backoff = kProbeBackoff;
   TimePoint m_probe_at;
   TimePoint m_last_reply;
-  std::optional<TimePoint> m_misdirected_until;
 };
 
 }  // namespace wasabihook::gateway
--- a/src/gateway/service.cc
+++ b/src/gateway/service.cc
@@ -99,8 +99,7 @@
     const bool preferred =
         m_warm_set.empty() ||
         std::find(m_warm_set.begin(), m_warm_set.end(), id) != m_warm_set.end();
-    if (preferred && server->connections() == 0 && !server->draining() &&
-        !server->health().down() && !server->health().misdirected(now))
+    if (preferred && server->connections() == 0 && server->IsSound(now))
       out.push_back(id);
   }
 }
@@ -133,13 +132,11 @@
 
 void Service::CountDemand() {
   const TimePoint now = m_context->loop->Now();
-  const auto usable = [now](const auto& server) {
-    return !server->draining() && !server->health().down() &&
-           !server->health().misdirected(now);
-  };
-  const auto count = std::count_if(m_servers.begin(), m_servers.end(), usable);
+  const auto count =
+      std::count_if(m_servers.begin(), m_servers.end(),
+                    [now](const auto& server) { return server->IsSound(now); });
   for (const auto& server : m_servers) {
-    if (usable(server))
+    if (server->IsSound(now))
       server->OnDemand(1.0 / static_cast<double>(count), now);
   }
 }
@@ -148,8 +145,7 @@
   const TimePoint now = m_context->loop->Now();
   bool any = false;
   for (const auto& server : m_servers) {
-    if (server->draining() || server->health().down() ||
-        server->health().misdirected(now))
+    if (!server->IsSound(now))
       continue;
     if (server->MaySend(now))
       return false;
@@ -200,11 +196,7 @@
   double best_cost = 0;
   for (const auto& server : m_servers) {
     if (Contains(excluded, server.get()) || !HasCapacity(*server) ||
-        server->health().misdirected(now) || (hedge && server->IsLimited()))
-      continue;
-    // A draining server is used for a short time if the service has no other.
-    if (server->draining() && (has_ready || now - *server->draining_since() >
-                                                kDrainingFallbackPeriod))
+        !server->IsUsable(now, has_ready) || (hedge && server->IsLimited()))
       continue;
     double cost = CostOf(*server, now);
     // Unreachable servers are used only if there is no other. Probes detect
@@ -222,12 +214,11 @@
 bool Service::MayHaveCapacityLater(
     std::span<BackendServer* const> excluded) const {
   const TimePoint now = m_context->loop->Now();
-  return std::any_of(
-      m_servers.begin(), m_servers.end(), [excluded, now](const auto& server) {
-        return !server->draining() && !server->health().down() &&
-               server->MaySend(now) && !server->health().misdirected(now) &&
-               !Contains(excluded, server.get());
-      });
+  return std::any_of(m_servers.begin(), m_servers.end(),
+                     [excluded, now](const auto& server) {
+                       return server->IsSound(now) && server->MaySend(now) &&
+                              !Contains(excluded, server.get());
+                     });
 }
 
 }  // namespace wasabihook::gateway
--- a/tests/gateway/policy_test.cc
+++ b/tests/gateway/policy_test.cc
@@ -246,20 +246,6 @@
   EXPECT_FALSE(health.down());
 }
 
-// Guards against requests to an address that another server has taken over, and
-// against one wrong answer that disables a server permanently.
-TEST(ServerHealth, MisdirectedServerIsUsedAgainAfterAPause) {
-  ServerHealth health;
-  EXPECT_FALSE(health.misdirected(At(seconds(1))));
-  health.OnMisdirected(At(seconds(1)));
-  EXPECT_TRUE(health.misdirected(At(seconds(1))));
-  EXPECT_TRUE(health.misdirected(At(seconds(1) + kMisdirectedPause / 2)));
-  EXPECT_FALSE(health.misdirected(At(seconds(1) + kMisdirectedPause)));
-  health.OnMisdirected(At(seconds(20)));
-  health.OnNewEntry();
-  EXPECT_FALSE(health.misdirected(At(seconds(20))));
-}
-
 // Guards against a shard whose two servers both count as down after one broken
 // connection each.
 TEST(ServerHealth, BrokenConnectionDoesNotMarkAServerDown) {
