Believe a server that says it leaves

Cause: the field Server-Leaving was not read; a drain was known from the registry only.

Change: LeavingServers keeps the starts of servers that have said so, in any answer but that of another server at the address: also the answer to a hedge that lost, and a 503. It holds for ten minutes or until another start is known there; neither the registry nor a later answer takes it back. It travels with the observations. The server gets no new work, as one that the registry lists as draining: it is used for 0.8 s more if its service has no other. Logged (server_leaving) and counted.

--- a/src/gateway/backend_server.cc
+++ b/src/gateway/backend_server.cc
@@ -12,6 +12,7 @@
 
 constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
+constexpr std::string_view kTrue = "1";
 
 // Requests per second as a decimal number; empty if it isn't one.
 std::optional<double> ParseRate(std::string_view text) {
@@ -55,7 +56,9 @@
       m_entry(std::move(entry)),
       m_key(MakeServerKey(m_entry.id, m_entry.started_at_ms)),
       m_service_key(MakeServiceKey(m_entry.service.value())),
-      m_warm_up_end(context->loop->Now() + m_entry.warm_up_left) {}
+      m_warm_up_end(context->loop->Now() + m_entry.warm_up_left) {
+  CheckLeaving();
+}
 
 BackendServer::~BackendServer() {
   for (Slot& slot : m_slots) {
@@ -76,6 +79,8 @@
   if (!restarted)
     return;
   m_health.Reset();
+  m_availability.OnRestarted();
+  CheckLeaving();
   CloseIdle();
 }
 
@@ -232,6 +237,9 @@
 }
 
 void BackendServer::Sweep(TimePoint now) {
+  CheckLeaving();
+  if (draining())
+    CloseIdle();
   CloseTimedOut(now);
   Probe(now);
 }
@@ -387,6 +395,33 @@
                         {"share_per_s", limit ? limits.ShareOf(m_key) : -1}});
 }
 
+void BackendServer::ApplyLeaving(AttemptOutcome result,
+                                 const HeaderList& headers) {
+  // The answer of another server says nothing about this one.
+  if (result == AttemptOutcome::kWrongServer ||
+      headers.Find(m_context->platform->headers.server_leaving) != kTrue)
+    return;
+  const TimePoint now = m_context->loop->Now();
+  if (m_context->leaving->Add({.server = m_key, .at = now}, now))
+    m_context->metrics->CountLeaving("said");
+  CheckLeaving();
+}
+
+void BackendServer::CheckLeaving() {
+  if (m_availability.said_leaving())
+    return;
+  const auto since = m_context->leaving->Since(m_key);
+  if (!since)
+    return;
+  m_context->log->Info(
+      "server_leaving",
+      {{"server", m_entry.id.value()},
+       {"service", m_entry.service.value()},
+       {"said_ms", (m_context->loop->Now() - *since).count() / 1000},
+       {"registry_says_so", m_availability.leaving()}});
+  m_availability.OnSaidLeaving(*since);
+}
+
 bool BackendServer::MaySend(TimePoint now) const {
   return m_context->limits->MaySend(m_key, now);
 }
@@ -514,8 +549,10 @@
   --m_outstanding;
   const AttemptOutcome result = Classify(outcome, connection.reply());
   ReportCrashEvidence(*attempt, result, outcome);
-  if (outcome == WireOutcome::kReply)
+  if (outcome == WireOutcome::kReply) {
+    ApplyLeaving(result, connection.reply().headers());
     ApplyLimit(result, connection.reply().headers());
+  }
   RecordOutcome(*attempt, result);
   const bool keep_open = !draining();
   if (attempt->listener != nullptr) {
--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -185,6 +185,10 @@
                            AttemptOutcome result,
                            WireOutcome outcome);
   void ProbeAfterLoss(TimePoint now);
+  // The server may say in an answer that it leaves.
+  void ApplyLeaving(AttemptOutcome result, const HeaderList& headers);
+  // Applies that this or another instance has heard so.
+  void CheckLeaving();
   // Applies the limit that the server names in an answer, or its end.
   void ApplyLimit(AttemptOutcome result, const HeaderList& headers);
   void LogLoss(const Attempt& attempt, WireOutcome outcome);
--- a/src/gateway/fleet_message.cc
+++ b/src/gateway/fleet_message.cc
@@ -14,6 +14,7 @@
 constexpr const char* kCrashes = "crashes";
 constexpr const char* kSurvivals = "survivals";
 constexpr const char* kLimits = "limits";
+constexpr const char* kLeaving = "leaving";
 constexpr const char* kDemand = "demand";
 constexpr const char* kDemandInstances = "demand_instances";
 
@@ -86,6 +87,9 @@
         {limit.server.value(),
          limit.per_second ? json(*limit.per_second) : json(nullptr),
          AgeMillis(limit.at, now)});
+  for (const LeavingStatement& statement : message.leaving)
+    out[kLeaving].push_back(
+        {statement.server.value(), AgeMillis(statement.at, now)});
   std::string text;
   json::to_msgpack(out, text);
   return text;
@@ -102,6 +106,9 @@
   }
   out.crash_news = DecodeCrashNews(in, now);
   out.limits = DecodeLimits(in, now);
+  for (const json& item : in.value(kLeaving, json::array()))
+    out.leaving.push_back({.server = ServerKey(item.at(0).get<uint32_t>()),
+                           .at = FromAge(item.at(1), now)});
   for (const json& item : in.value(kDemand, json::array()))
     out.demand.per_second[ServerKey(item.at(0).get<uint32_t>())] =
         std::max(item.at(1).get<double>(), 0.0);
--- a/src/gateway/fleet_message.h
+++ b/src/gateway/fleet_message.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/leaving_servers.h"
 #include "gateway/request_quarantine.h"
 #include "gateway/server_limits.h"
 #include "gateway/server_observations.h"
@@ -21,6 +22,7 @@
   DemandDigest demand;
   CrashNews crash_news;
   std::vector<LimitStatement> limits;
+  std::vector<LeavingStatement> leaving;
 };
 
 // Times are sent as ages, since the clocks of instances differ.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -77,6 +77,7 @@
                 .observer = &m_observations,
                 .quarantine = &m_quarantine,
                 .limits = &m_limits,
+                .leaving = &m_leaving_servers,
                 .random = std::move(random)},
       m_feed_selector(m_settings.instance, m_settings.data_centre),
       m_observations(&m_context, &m_feed_selector),
@@ -163,6 +164,7 @@
   every(kExpirySweepPeriod, [this] {
     m_quarantine.Sweep(m_loop->Now());
     m_limits.Sweep(m_loop->Now());
+    m_leaving_servers.Sweep(m_loop->Now());
   });
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -91,6 +91,7 @@
   GatewayLog m_log;
   RequestQuarantine m_quarantine;
   ServerLimits m_limits;
+  LeavingServers m_leaving_servers;
   GatewayContext m_context;
   FeedSelector m_feed_selector;
   ObservationExchange m_observations;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/http_message.h"
+#include "gateway/leaving_servers.h"
 #include "gateway/platform_adapter.h"
 #include "gateway/request_quarantine.h"
 #include "gateway/server_limits.h"
@@ -32,6 +33,7 @@
   ServerObserver* observer = nullptr;
   RequestQuarantine* quarantine = nullptr;
   ServerLimits* limits = nullptr;
+  LeavingServers* leaving = nullptr;
   // While the instance drains: time by which every request must be answered.
   std::optional<TimePoint> answer_by{};
   RandomSource random;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -51,6 +51,9 @@
       m_server_entries(Counters(m_registry,
                                 "wasabihook_gateway_server_entries_total",
                                 "Entries of servers that are not applied.")),
+      m_leaving(Counters(m_registry,
+                         "wasabihook_gateway_servers_leaving_total",
+                         "Servers that say they leave, by event.")),
       m_limits(Counters(m_registry,
                         "wasabihook_gateway_server_limits_total",
                         "Limits that servers name, by event.")),
@@ -107,6 +110,10 @@
   CounterOf(m_server_entries, "event", "outdated").Increment();
 }
 
+void GatewayMetrics::CountLeaving(const char* event, double count) {
+  CounterOf(m_leaving, "event", event).Increment(count);
+}
+
 void GatewayMetrics::CountLimit(const char* event) {
   CounterOf(m_limits, "event", event).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -29,6 +29,8 @@
   void CountQuarantine(const char* event);
   // Entry of a server from before the store was restored.
   void CountOutdatedServerEntry();
+  // Servers that say they leave, by how it became known.
+  void CountLeaving(const char* event, double count = 1);
   // Limits that servers name, by event.
   void CountLimit(const char* event);
   void SetLimitedServers(size_t count);
@@ -58,6 +60,7 @@
   prometheus::Family<prometheus::Counter>& m_connects;
   prometheus::Family<prometheus::Counter>& m_quarantine;
   prometheus::Family<prometheus::Counter>& m_server_entries;
+  prometheus::Family<prometheus::Counter>& m_leaving;
   prometheus::Family<prometheus::Counter>& m_limits;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Gauge>& m_state;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -106,6 +106,11 @@
 inline constexpr uint32_t kServerQueueDepth = 4;
 // Time for which a draining server is still used if its service has no other.
 inline constexpr Duration kDrainingFallbackPeriod = milliseconds(800);
+// Time for which it is remembered that a server said it leaves, and number of
+// such servers: that of the largest fleet. Servers go on for the time bound for
+// drains and some seconds; a copy of the store is seconds old.
+inline constexpr Duration kLeavingServerMemory = seconds(600);
+inline constexpr size_t kMaxLeavingServers = 32'768;
 // Grace periods before the removal of a server whose entry disappeared without
 // a drain: in general, and after an outage of the store, during which leases
 // may have expired. Entries of live servers are back within two seconds.
--- a/src/gateway/observation_exchange.cc
+++ b/src/gateway/observation_exchange.cc
@@ -67,6 +67,7 @@
   const TimePoint since = all ? TimePoint() : now - kFleetNewsTime;
   message.crash_news = m_context->quarantine->NewsSince(since);
   message.limits = m_context->limits->NewsSince(since);
+  message.leaving = m_context->leaving->NewsSince(since);
 }
 
 void ObservationExchange::MergeNews(const FleetMessage& message,
@@ -77,6 +78,9 @@
     m_context->log->Info(
         "server_limits_received",
         {{"changed", changed}, {"limited", m_context->limits->limited()}});
+  if (const size_t added = m_context->leaving->Merge(message.leaving, now);
+      added > 0)
+    m_context->metrics->CountLeaving("received", static_cast<double>(added));
 }
 
 void ObservationExchange::Send(const std::string& address, bool root) {
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -40,6 +40,8 @@
   // Requests per second that the server takes from all instances together, for
   // as long as its answers name it.
   std::string server_limit;
+  // "1" in all answers of a server that leaves.
+  std::string server_leaving;
   // How often the store was restored from an older copy; in all its replies.
   std::string store_era;
 };
--- a/src/gateway/server_availability.cc
+++ b/src/gateway/server_availability.cc
@@ -9,6 +9,15 @@
     m_leaving_since = now;
 }
 
+void ServerAvailability::OnSaidLeaving(TimePoint since) {
+  if (!m_said_leaving_since)
+    m_said_leaving_since = since;
+}
+
+void ServerAvailability::OnRestarted() {
+  *this = ServerAvailability();
+}
+
 void ServerAvailability::OnMisdirected(TimePoint now) {
   m_misdirected_until = now + kMisdirectedPause;
 }
@@ -25,7 +34,7 @@
   if (IsMisdirected(now))
     return false;
   return !leaving() ||
-         (!others && now - *m_leaving_since <= kDrainingFallbackPeriod);
+         (!others && now - *leaving_since() <= kDrainingFallbackPeriod);
 }
 
 }  // namespace wasabihook::gateway
--- a/src/gateway/server_availability.h
+++ b/src/gateway/server_availability.h
@@ -27,6 +27,11 @@
  public:
   // The registry says that the server leaves, or has removed it.
   void OnLeaving(TimePoint now);
+  // The server said at `since` that it leaves, here or to another instance.
+  void OnSaidLeaving(TimePoint since);
+  bool said_leaving() const { return m_said_leaving_since.has_value(); }
+  // Another start of the server is at its place.
+  void OnRestarted();
   // The registry lists the server as ready.
   void OnListedReady() { m_leaving_since.reset(); }
   // Another server answered at the address.
@@ -36,7 +41,7 @@
 
   // `down`: connections fail or fell silent.
   Availability At(TimePoint now, bool down) const;
-  bool leaving() const { return m_leaving_since.has_value(); }
+  bool leaving() const { return leaving_since().has_value(); }
   // True for kMisdirectedPause after another server answered at the address. A
   // request sent there would count as a repeat at the service of that server.
   bool IsMisdirected(TimePoint now) const {
@@ -47,7 +52,13 @@
   bool IsUsable(TimePoint now, bool others) const;
 
  private:
+  std::optional<TimePoint> leaving_since() const {
+    return m_said_leaving_since ? m_said_leaving_since : m_leaving_since;
+  }
+
   std::optional<TimePoint> m_leaving_since;
+  // Holds whatever the registry says.
+  std::optional<TimePoint> m_said_leaving_since;
   std::optional<TimePoint> m_misdirected_until;
 };
 
