Send nothing to a server within the pause that it asks for

Callers waited for servers that refused them again.

Cause: Retry-After of a server's 503 was not read.

Change: ParsePause reads it (a positive number of seconds, 60 s at most, the longest of several fields; anything else pauses nobody and is logged). The pause belongs to that start of the server and to this instance, and is not passed on. Until its end, put off by up to a tenth so that instances don't return together, first attempts, retries, hedges, warm-ups and probes leave the server out. After it the server gets a quarter of its requests at first and all after a second, as long as it has others beside it. A refused request goes to another server within the retry budget, as before. A part whose servers all pause fails before anything is sent: the query is answered without it, or rejected at once with the time at which enough parts are back in Retry-After.

--- a/src/gateway/backend_server.cc
+++ b/src/gateway/backend_server.cc
@@ -6,12 +6,14 @@
 #include <utility>
 
 #include "gateway/request_fingerprint.h"
+#include "gateway/server_pause.h"
 
 namespace wasabihook::gateway {
 namespace {
 
 constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
+constexpr int kUnavailable = 503;
 constexpr std::string_view kTrue = "1";
 
 // Requests per second as a decimal number; empty if it isn't one.
@@ -230,7 +232,8 @@
 }
 
 void BackendServer::Probe(TimePoint now) {
-  if (draining() || !m_health.ProbeDue(now) || !HasConnection())
+  if (draining() || IsPaused(now) || !m_health.ProbeDue(now) ||
+      !HasConnection())
     return;
   m_health.StartProbe(now);
   OpenConnection();
@@ -407,6 +410,40 @@
   CheckLeaving();
 }
 
+void BackendServer::ApplyPause(AttemptOutcome result,
+                               const MessageParser& reply) {
+  if (result == AttemptOutcome::kWrongServer || reply.status() != kUnavailable)
+    return;
+  const HeaderList& headers = reply.headers();
+  std::vector<std::string_view> values;
+  for (size_t i = 0; i < headers.size(); ++i) {
+    const HeaderList::Field field = headers.at(i);
+    if (EqualsIgnoreCase(field.name, m_context->platform->headers.retry_after))
+      values.push_back(field.value);
+  }
+  if (values.empty())
+    return;
+  const TimePoint now = m_context->loop->Now();
+  const std::optional<Duration> pause = ParsePause(values);
+  m_context->metrics->CountPause(pause ? "named" : "invalid");
+  if (!pause) {
+    m_context->log->Warning("server_pause_invalid",
+                            {{"server", m_entry.id.value()},
+                             {"value", std::string(values.front())}});
+    return;
+  }
+  const auto jitter =
+      Duration(static_cast<int64_t>(static_cast<double>(pause->count()) *
+                                    kPauseJitterShare * m_context->Uniform()));
+  if (!IsPaused(now))
+    m_context->log->Info("server_paused",
+                         {{"server", m_entry.id.value()},
+                          {"service", m_entry.service.value()},
+                          {"value", std::string(values.front())},
+                          {"pause_ms", (*pause + jitter).count() / 1000}});
+  m_availability.OnPause(now + *pause + jitter);
+}
+
 void BackendServer::CheckLeaving() {
   if (m_availability.said_leaving())
     return;
@@ -480,7 +517,7 @@
 // Shows at once whether the server has ended or only the connection, before
 // other requests are sent to it.
 void BackendServer::ProbeAfterLoss(TimePoint now) {
-  if (draining() || m_health.down() || !HasConnection())
+  if (draining() || IsPaused(now) || m_health.down() || !HasConnection())
     return;
   const bool connecting = std::any_of(
       m_slots.begin(), m_slots.end(),
@@ -551,6 +588,7 @@
   ReportCrashEvidence(*attempt, result, outcome);
   if (outcome == WireOutcome::kReply) {
     ApplyLeaving(result, connection.reply().headers());
+    ApplyPause(result, connection.reply());
     ApplyLimit(result, connection.reply().headers());
   }
   RecordOutcome(*attempt, result);
--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -109,6 +109,11 @@
   bool IsSound(TimePoint now) const {
     return AvailabilityAt(now) == Availability::kSound;
   }
+  bool IsPaused(TimePoint now) const { return m_availability.IsPaused(now); }
+  // End of the present or last pause that the server asked for.
+  std::optional<TimePoint> paused_until() const {
+    return m_availability.paused_until();
+  }
   // See ServerAvailability::IsUsable().
   bool IsUsable(TimePoint now, bool others) const {
     return m_availability.IsUsable(now, others);
@@ -187,6 +192,8 @@
   void ProbeAfterLoss(TimePoint now);
   // The server may say in an answer that it leaves.
   void ApplyLeaving(AttemptOutcome result, const HeaderList& headers);
+  // The server may say in a refusal for how long it wants no more requests.
+  void ApplyPause(AttemptOutcome result, const MessageParser& reply);
   // Applies that this or another instance has heard so.
   void CheckLeaving();
   // Applies the limit that the server names in an answer, or its end.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -7,6 +7,7 @@
 
 #include "gateway/merged_answer.h"
 #include "gateway/request_fingerprint.h"
+#include "gateway/server_pause.h"
 
 namespace wasabihook::gateway {
 namespace {
@@ -245,12 +246,29 @@
   Finish(kOk, m_objective_passed ? "objective" : "complete");
 }
 
+// Empty unless the request lacks parts only since their servers want no
+// requests for some time.
+std::optional<Duration> Exchange::TimeUntilPausesEnd() const {
+  std::vector<TimePoint> ends;
+  for (const Part& part : m_parts) {
+    if (part.state != PartState::kFailed)
+      continue;
+    if (const auto end = part.service->PausedUntil())
+      ends.push_back(*end);
+  }
+  const size_t left = m_parts.size() - m_failed;
+  const size_t missing =
+      left < m_route->required_parts ? m_route->required_parts - left : 0;
+  return TimeUntilServable(std::move(ends), missing, m_context->loop->Now());
+}
+
 std::string Exchange::RetryAfterLine() const {
   const Duration left = m_times.deadline - m_context->loop->Now();
   const Duration most =
       std::clamp(Scale(left, kRetryAfterShare), kMinRetryAfter, kMaxRetryAfter);
-  const Duration delay =
-      kMinRetryAfter + Scale(most - kMinRetryAfter, m_context->Uniform());
+  const Duration delay = TimeUntilPausesEnd().value_or(Duration(0)) +
+                         kMinRetryAfter +
+                         Scale(most - kMinRetryAfter, m_context->Uniform());
   char text[32];
   std::snprintf(text, sizeof(text), "%.3f",
                 static_cast<double>(delay.count()) / 1e6);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -104,6 +104,7 @@
   void OnCallerDisconnect();
   void AbandonAll();
   void Finish(int status, const char* why);
+  std::optional<Duration> TimeUntilPausesEnd() const;
   std::string RetryAfterLine() const;
   std::string MissingParts() const;
   void LogEnd(int status, const char* why) const;
--- a/src/gateway/exchange_parts.cc
+++ b/src/gateway/exchange_parts.cc
@@ -71,6 +71,9 @@
     } else if (part.service->IsAtLimit()) {
       m_context->metrics->CountLimit("rejected");
       FailPart(part, "limited");
+    } else if (part.service->PausedUntil()) {
+      m_context->metrics->CountPause("rejected");
+      FailPart(part, "paused");
     }
   }
   // Sends nothing if too few parts are left for an answer.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -494,6 +494,8 @@
 
 void Gateway::UpdateGauges() {
   m_metrics.SetServers(m_directory.usable(), m_directory.known());
+  for (const auto& [availability, count] : m_directory.CountByAvailability())
+    m_metrics.SetServersOfState(ToString(availability), count);
   m_metrics.SetReady(ready());
   m_metrics.SetLimitedServers(m_limits.limited());
   m_metrics.SetQuarantine(m_quarantine.quarantined(), m_quarantine.suspects());
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -54,6 +54,9 @@
       m_leaving(Counters(m_registry,
                          "wasabihook_gateway_servers_leaving_total",
                          "Servers that say they leave, by event.")),
+      m_pauses(Counters(m_registry,
+                        "wasabihook_gateway_server_pauses_total",
+                        "Pauses that servers ask for, by event.")),
       m_limits(Counters(m_registry,
                         "wasabihook_gateway_server_limits_total",
                         "Limits that servers name, by event.")),
@@ -114,6 +117,10 @@
   CounterOf(m_leaving, "event", event).Increment(count);
 }
 
+void GatewayMetrics::CountPause(const char* event) {
+  CounterOf(m_pauses, "event", event).Increment();
+}
+
 void GatewayMetrics::CountLimit(const char* event) {
   CounterOf(m_limits, "event", event).Increment();
 }
@@ -142,6 +149,10 @@
   m_state.Add({{"kind", "servers_known"}}).Set(static_cast<double>(known));
 }
 
+void GatewayMetrics::SetServersOfState(const std::string& state, size_t count) {
+  m_state.Add({{"kind", "servers_" + state}}).Set(static_cast<double>(count));
+}
+
 void GatewayMetrics::SetReady(bool ready) {
   m_state.Add({{"kind", "ready"}}).Set(ready ? 1 : 0);
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -31,6 +31,8 @@
   void CountOutdatedServerEntry();
   // Servers that say they leave, by how it became known.
   void CountLeaving(const char* event, double count = 1);
+  // Pauses that servers ask for, by event.
+  void CountPause(const char* event);
   // Limits that servers name, by event.
   void CountLimit(const char* event);
   void SetLimitedServers(size_t count);
@@ -38,6 +40,7 @@
   void CountStoreCall(const char* call, const char* result);
   void SetConfigVersion(uint64_t version);
   void SetServers(size_t usable, size_t known);
+  void SetServersOfState(const std::string& state, size_t count);
   void SetReady(bool ready);
   void SetCallerConnections(size_t count);
   void SetLogLinesDropped(uint64_t count);
@@ -61,6 +64,7 @@
   prometheus::Family<prometheus::Counter>& m_quarantine;
   prometheus::Family<prometheus::Counter>& m_server_entries;
   prometheus::Family<prometheus::Counter>& m_leaving;
+  prometheus::Family<prometheus::Counter>& m_pauses;
   prometheus::Family<prometheus::Counter>& m_limits;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Gauge>& m_state;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -111,6 +111,15 @@
 // drains and some seconds; a copy of the store is seconds old.
 inline constexpr Duration kLeavingServerMemory = seconds(600);
 inline constexpr size_t kMaxLeavingServers = 32'768;
+// Longest pause that a server can ask for, so that a wrong value does not take
+// it out for hours. Above what a server needs to work off its queue.
+inline constexpr Duration kMaxServerPause = seconds(60);
+// After a pause a server gets this share of its usual requests at first, and
+// all of them after the recovery time. The end is put off by a random part of
+// the pause, so that the instances don't return at the same moment.
+inline constexpr double kFirstShareAfterPause = 0.25;
+inline constexpr Duration kPauseRecovery = seconds(1);
+inline constexpr double kPauseJitterShare = 0.1;
 // Grace periods before the removal of a server whose entry disappeared without
 // a drain: in general, and after an outage of the store, during which leases
 // may have expired. Entries of live servers are back within two seconds.
--- a/src/gateway/server_availability.h
+++ b/src/gateway/server_availability.h
@@ -15,12 +15,16 @@
   kSound,
   // The server ends soon. It still answers for some time.
   kLeaving,
+  // The server wants no requests of this instance for some time.
+  kPaused,
   // Another server answered at the address.
   kMisdirected,
   // Connections fail or fell silent.
   kDown,
 };
 
+const char* ToString(Availability availability);
+
 // What is known of the availability of one start of a server. Decides for first
 // attempts, retries, hedges, warm-ups and probes alike.
 class ServerAvailability {
@@ -30,6 +34,9 @@
   // The server said at `since` that it leaves, here or to another instance.
   void OnSaidLeaving(TimePoint since);
   bool said_leaving() const { return m_said_leaving_since.has_value(); }
+  // The server wants no requests until then. Of several pauses the longest
+  // counts.
+  void OnPause(TimePoint until);
   // Another start of the server is at its place.
   void OnRestarted();
   // The registry lists the server as ready.
@@ -47,6 +54,11 @@
   bool IsMisdirected(TimePoint now) const {
     return m_misdirected_until && now < *m_misdirected_until;
   }
+  bool IsPaused(TimePoint now) const {
+    return m_paused_until && now < *m_paused_until;
+  }
+  // End of the present or last pause.
+  std::optional<TimePoint> paused_until() const { return m_paused_until; }
   // True if a request may be sent at all. `others`: the service has servers
   // that don't leave. Without any, a leaving server is used for a short time.
   bool IsUsable(TimePoint now, bool others) const;
@@ -59,6 +71,7 @@
   std::optional<TimePoint> m_leaving_since;
   // Holds whatever the registry says.
   std::optional<TimePoint> m_said_leaving_since;
+  std::optional<TimePoint> m_paused_until;
   std::optional<TimePoint> m_misdirected_until;
 };
 
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -217,6 +217,18 @@
   m_servers.erase(found);
 }
 
+std::map<Availability, size_t> ServerDirectory::CountByAvailability() const {
+  std::map<Availability, size_t> out = {{Availability::kSound, 0},
+                                        {Availability::kLeaving, 0},
+                                        {Availability::kPaused, 0},
+                                        {Availability::kMisdirected, 0},
+                                        {Availability::kDown, 0}};
+  const TimePoint now = m_context->loop->Now();
+  for (const auto& [id, record] : m_servers)
+    ++out[record.server->AvailabilityAt(now)];
+  return out;
+}
+
 size_t ServerDirectory::usable() const {
   return static_cast<size_t>(std::count_if(
       m_servers.begin(), m_servers.end(),
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -58,6 +58,8 @@
   // live servers return.
   void OnLeasesLost();
 
+  // Number of servers by availability, for all values.
+  std::map<Availability, size_t> CountByAvailability() const;
   size_t known() const { return m_servers.size(); }
   size_t usable() const;
 
--- a/src/gateway/service.cc
+++ b/src/gateway/service.cc
@@ -5,6 +5,7 @@
 
 #include "decision/routing/rendezvous.h"
 #include "gateway/replica_cost.h"
+#include "gateway/server_pause.h"
 
 namespace wasabihook::gateway {
 namespace {
@@ -165,9 +166,31 @@
          server.outstanding() < limit->second;
 }
 
-bool Service::HasReadyServer() const {
+bool Service::HasReadyServer(TimePoint now) const {
   return std::any_of(m_servers.begin(), m_servers.end(),
-                     [](const auto& server) { return !server->draining(); });
+                     [now](const auto& server) {
+                       return !server->draining() && !server->IsPaused(now);
+                     });
+}
+
+std::optional<TimePoint> Service::PausedUntil() const {
+  const TimePoint now = m_context->loop->Now();
+  const bool has_ready = HasReadyServer(now);
+  std::optional<TimePoint> out;
+  for (const auto& server : m_servers) {
+    if (server->AvailabilityAt(now) == Availability::kPaused)
+      out = std::min(out.value_or(*server->paused_until()),
+                     *server->paused_until());
+    else if (!server->health().down() && server->IsUsable(now, has_ready))
+      return std::nullopt;
+  }
+  return out;
+}
+
+bool Service::IsHeldBackAfterPause(const BackendServer& server,
+                                   TimePoint now) const {
+  const auto end = server.paused_until();
+  return end && m_context->Uniform() >= ShareAfterPause(*end, now);
 }
 
 double Service::CostOf(const BackendServer& server, TimePoint now) const {
@@ -191,7 +214,7 @@
 BackendServer* Service::Pick(std::span<BackendServer* const> excluded,
                              bool hedge) const {
   const TimePoint now = m_context->loop->Now();
-  const bool has_ready = HasReadyServer();
+  const bool has_ready = HasReadyServer(now);
   BackendServer* best = nullptr;
   double best_cost = 0;
   for (const auto& server : m_servers) {
@@ -201,7 +224,7 @@
     double cost = CostOf(*server, now);
     // Unreachable servers are used only if there is no other. Probes detect
     // when they are back.
-    if (server->health().down())
+    if (server->health().down() || IsHeldBackAfterPause(*server, now))
       cost += kDownCost;
     if (best == nullptr || cost < best_cost) {
       best = server.get();
--- a/src/gateway/service.h
+++ b/src/gateway/service.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -62,6 +63,9 @@
   // True if there are usable servers, but this instance's shares of the limits
   // that they name are used up for the moment.
   bool IsAtLimit() const;
+  // When a server is available again, if all that could be used now want no
+  // requests for some time; otherwise empty.
+  std::optional<TimePoint> PausedUntil() const;
   // Returns the server of lowest cost that has capacity and is not in
   // `excluded`, or null. A hedge leaves out servers that name a limit.
   BackendServer* Pick(std::span<BackendServer* const> excluded,
@@ -74,7 +78,9 @@
   void LogLimitChange(bool was_limited) const;
   std::vector<ServerId> Subset(const InstanceId& self, double share) const;
   bool HasCapacity(const BackendServer& server) const;
-  bool HasReadyServer() const;
+  bool HasReadyServer(TimePoint now) const;
+  // After a pause the load returns in steps, as long as there are others.
+  bool IsHeldBackAfterPause(const BackendServer& server, TimePoint now) const;
   double CostOf(const BackendServer& server, TimePoint now) const;
 
   GatewayContext* const m_context;
