Let servers leave and pause in the soak

A server of a shard says in its answers that it leaves, every 4.7 s and without the registry knowing; 6 s later it ends and starts again at its address. Servers ask for pauses of 0.3 to 5 s every 3.7 s, in one of three cases all replicas of a shard. Both rules are checked from what the servers see. What servers say of themselves, limits too, moves to a file of its own; the check of limits is the same.

--- a/programs/wasabihook-soak/main.cc
+++ b/programs/wasabihook-soak/main.cc
@@ -31,7 +31,8 @@
   std::cout << "seed " << options.seed << ": " << result.requests
             << " requests, " << result.answered << " answered, "
             << result.faults << " faults, " << result.crashes << " crashes, "
-            << result.limits << " limits, " << result.restores << " restores, "
+            << result.limits << " limits, " << result.leaving << " leaving, "
+            << result.pauses << " pauses, " << result.restores << " restores, "
             << result.violations.size() << " violations\n";
   constexpr size_t kMaxPrintedViolations = 5;
   for (size_t i = 0;
--- a/programs/wasabihook-soak/soak.cc
+++ b/programs/wasabihook-soak/soak.cc
@@ -22,7 +22,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr size_t kShards = 6;
 constexpr size_t kMinShards = 5;
 constexpr size_t kTopRecords = 4;
 constexpr Duration kDeadline = milliseconds(900);
@@ -37,16 +36,10 @@
 // repetitions that may reach servers later.
 constexpr Duration kLearningTime = seconds(4);
 constexpr size_t kMaxLateRepetitions = 3;
-// Limit that a server names, for how long, and how often one starts to. A
-// server may get this multiple of its limit in a window, and some requests
-// more, from processes that it told half a second before.
-constexpr double kLimitPerSecond = 8;
-constexpr Duration kLimitTime = seconds(7);
+// How often a server names a limit, says that it leaves, or asks for a pause.
 constexpr Duration kLimitPeriod = milliseconds(2300);
-constexpr Duration kLimitWindow = seconds(4);
-constexpr Duration kToldBefore = milliseconds(500);
-constexpr double kLimitTolerance = 1.5;
-constexpr size_t kLimitSlack = 5;
+constexpr Duration kLeavingPeriod = milliseconds(4700);
+constexpr Duration kPausePeriod = milliseconds(3700);
 // Copies of the store that are kept and how often it comes back from one. A
 // change must be in force in processes that were in touch within the apply
 // time.
@@ -86,6 +79,7 @@
     : m_options(std::move(options)),
       m_random(m_options.seed),
       m_restore_random(m_options.seed),
+      m_statement_random(m_options.seed),
       m_store(&m_loop),
       m_crashing_requests{{.target = kCrashTarget},
                           {.target = kSometimesCrashTarget,
@@ -220,7 +214,7 @@
   pending.kind = RandomIndex(3) == 0 ? Kind::kWrite : Kind::kSearch;
   pending.id = "q" + std::to_string(m_next_id++);
   pending.sent_at = m_loop.Now();
-  m_gateway_of[pending.id] = pending.gateway;
+  m_sent[pending.id] = {.gateway = pending.gateway, .at = pending.sent_at};
   pending.caller = TakeCaller(m_gateways[pending.gateway]);
   const bool write = pending.kind == Kind::kWrite;
   const std::string body = write ? "body of " + pending.id : "";
@@ -240,6 +234,7 @@
   ++m_result.requests;
   pending.id = "c" + std::to_string(m_next_id++);
   pending.sent_at = m_loop.Now();
+  m_sent[pending.id] = {.gateway = pending.gateway, .at = pending.sent_at};
   pending.caller = TakeCaller(m_gateways[pending.gateway]);
   pending.caller->Send(
       RequestHead(std::string("GET ") + request.target, pending.id, kDeadline));
@@ -307,6 +302,7 @@
   pending.kind = Kind::kVersion;
   pending.id = "v" + std::to_string(m_next_id++);
   pending.sent_at = m_loop.Now();
+  m_sent[pending.id] = {.gateway = pending.gateway, .at = pending.sent_at};
   pending.version = m_version;
   ++m_result.requests;
   pending.caller = TakeCaller(m_gateways[pending.gateway]);
@@ -341,57 +337,6 @@
     ReportViolation(what + " in time");
 }
 
-void Soak::StartLimit() {
-  if (!m_inject_faults)
-    return;
-  const size_t server = RandomIndex(kShards * 2);
-  if (m_limited.contains(server) || !m_servers[server]->running())
-    return;
-  m_servers[server]->SetFault(ServerFault::kNone);
-  m_links[server]->SetFault(LinkFault::kNone);
-  m_servers[server]->SetLimit(kLimitPerSecond);
-  m_limited[server] = m_loop.Now();
-  ++m_result.limits;
-  m_loop.SubscribeOnce(kLimitTime, [this, server] { EndLimit(server); });
-}
-
-// Counts the requests of processes that were undisturbed since the limit was
-// named, from half a second after the first answer to each.
-void Soak::EndLimit(size_t server) {
-  const auto limited = m_limited.find(server);
-  if (limited == m_limited.end())
-    return;
-  const TimePoint named_at = limited->second;
-  m_limited.erase(limited);
-  std::map<size_t, TimePoint> told;
-  std::vector<TimePoint> counted;
-  for (const FakeBackendServer::Arrival& arrival :
-       m_servers[server]->limited_arrivals()) {
-    const auto gateway = m_gateway_of.find(arrival.request_id);
-    if (gateway == m_gateway_of.end() ||
-        !m_gateways[gateway->second].UndisturbedSince(named_at))
-      continue;
-    const auto [first, added] = told.emplace(gateway->second, arrival.at);
-    if (arrival.at - first->second >= kToldBefore)
-      counted.push_back(arrival.at);
-  }
-  m_servers[server]->SetLimit(std::nullopt);
-  size_t most = 0;
-  for (size_t first = 0; first < counted.size(); ++first) {
-    const auto end = std::upper_bound(counted.begin(), counted.end(),
-                                      counted[first] + kLimitWindow);
-    most = std::max(most, static_cast<size_t>(end - counted.begin()) - first);
-  }
-  const auto allowed =
-      static_cast<size_t>(kLimitTolerance * kLimitPerSecond *
-                          static_cast<double>(kLimitWindow / seconds(1))) +
-      kLimitSlack;
-  if (most > allowed)
-    ReportViolation(m_servers[server]->id() + ": got " + std::to_string(most) +
-                    " requests in 4 s where its limit allows " +
-                    std::to_string(allowed));
-}
-
 // Repetitions that reached a server later than the learning time after the
 // third crash, from processes that were in touch.
 void Soak::CheckCrashingRequest(const CrashingRequest& request) {
@@ -553,7 +498,7 @@
 
 void Soak::InjectLinkFault() {
   const size_t index = RandomIndex(m_links.size());
-  if (m_limited.contains(index))
+  if (m_statements.contains(index))
     return;
   constexpr LinkFault kFaults[] = {LinkFault::kNone, LinkFault::kDelay,
                                    LinkFault::kStall, LinkFault::kReplyOnly,
@@ -617,7 +562,7 @@
   const LinkFault fault =
       RandomIndex(2) == 0 ? LinkFault::kStall : LinkFault::kNone;
   for (size_t i = 0; i < m_links.size(); ++i) {
-    if (i % kDataCentreCount == affected && !m_limited.contains(i))
+    if (i % kDataCentreCount == affected && !m_statements.contains(i))
       m_links[i]->SetFault(fault);
   }
   for (Instance& instance : m_gateways) {
@@ -690,7 +635,7 @@
   m_inject_faults = false;
   m_store_disturbed_at = m_loop.Now();
   for (size_t i = 0; i < m_servers.size(); ++i)
-    EndLimit(i);
+    EndStatement(i);
   m_store.SetRefusing(false);
   for (const auto& link : m_store_links)
     link->SetFault(LinkFault::kNone);
@@ -732,6 +677,8 @@
                                 SendCrashingRequest(request);
                             }),
       m_loop.SubscribeEvery(kLimitPeriod, [this] { StartLimit(); }),
+      m_loop.SubscribeEvery(kLeavingPeriod, [this] { StartLeaving(); }),
+      m_loop.SubscribeEvery(kPausePeriod, [this] { StartPause(); }),
       m_loop.SubscribeEvery(kStoreCopyPeriod, [this] { TakeStoreCopy(); }),
       m_loop.SubscribeEvery(kRestorePeriod, [this] { RestoreStore(); }),
       m_loop.SubscribeEvery(kVersionRequestPeriod,
--- a/programs/wasabihook-soak/soak.h
+++ b/programs/wasabihook-soak/soak.h
@@ -16,6 +16,8 @@
 
 namespace wasabihook::soak {
 
+inline constexpr size_t kShards = 6;
+
 struct SoakOptions {
   uint64_t seed = 1;
   Duration duration = std::chrono::seconds(10);
@@ -33,6 +35,9 @@
   uint64_t crashes = 0;
   // Limits that servers named.
   uint64_t limits = 0;
+  // Servers that said they leave, and pauses that servers asked for.
+  uint64_t leaving = 0;
+  uint64_t pauses = 0;
   // Times that the store came back from an older copy.
   uint64_t restores = 0;
   // Violated guarantees, in the order of detection.
@@ -87,6 +92,21 @@
     }
   };
 
+  enum class StatementKind : uint8_t { kLimit, kLeaving, kPause };
+  // What a server says of itself. Its link and its answers are left in order
+  // meanwhile.
+  struct Statement {
+    StatementKind kind = StatementKind::kLimit;
+    TimePoint since;
+    // With kPause: the time that it asks for.
+    Duration pause{0};
+  };
+  // The process that got a request of a caller.
+  struct Sent {
+    size_t gateway = 0;
+    TimePoint at;
+  };
+
   // Repetition of a request that crashes servers.
   struct Repetition {
     TimePoint sent_at;
@@ -121,9 +141,16 @@
   void SendVersionRequest();
   // Each version has to be in force in time, and must not go back.
   void CheckVersion(const Pending& pending);
-  // Lets a server name a limit for some time, and checks what it got.
+  // Lets a server say something of itself for some time, and checks what it got
+  // meanwhile: it names a limit, it leaves, or it wants nothing for a while.
   void StartLimit();
-  void EndLimit(size_t server);
+  void StartLeaving();
+  void StartPause();
+  void StartStatement(size_t server, StatementKind kind, Duration time);
+  void EndStatement(size_t server);
+  void CheckLimit(size_t server, TimePoint since);
+  void CheckLeaving(size_t server);
+  void CheckPause(size_t server, Duration pause);
   CallerPtr TakeCaller(Instance& instance);
   void CollectAnswers();
   void Check(const Pending& pending);
@@ -145,9 +172,10 @@
 
   const SoakOptions m_options;
   std::mt19937_64 m_random;
-  // Draws for the restores of the store, so that they don't change the other
-  // faults of a seed.
+  // Draws for the restores of the store and for servers that leave or pause, so
+  // that they don't change the other faults of a seed.
   std::mt19937_64 m_restore_random;
+  std::mt19937_64 m_statement_random;
   gateway::EventLoop m_loop;
   gateway::testing::FakeStoreServer m_store;
   std::vector<std::unique_ptr<gateway::testing::FakeBackendServer>> m_servers;
@@ -163,11 +191,9 @@
   };
   std::deque<StoreCopy> m_store_copies;
   TimePoint m_config_put_at;
-  // When each limited server named its limit. Its link and its answers are left
-  // in order meanwhile.
-  std::map<size_t, TimePoint> m_limited;
-  // Process that got each request.
-  std::map<std::string, size_t> m_gateway_of;
+  std::map<size_t, Statement> m_statements;
+  // By request id.
+  std::map<std::string, Sent> m_sent;
   std::vector<std::unique_ptr<FaultProxy>> m_links;
   // Link from each data centre to the store.
   std::vector<std::unique_ptr<FaultProxy>> m_store_links;
