Keep the bound on suspects when crashes of other instances are merged

Callers would see: memory of an instance that grows with the requests in flight at servers that end, as other instances report them (three times the bound after 30 messages).

Evidence: OneInstanceTest.MergedCrashesAreBounded failed (3,840 suspects, bound 1,024) and passes with the look-up done once.

--- a/src/gateway/request_quarantine.cc
+++ b/src/gateway/request_quarantine.cc
@@ -287,9 +287,10 @@
 
 void RequestQuarantine::Merge(const CrashNews& news, TimePoint now) {
   // Answers come first, so that crashes which they outweigh are not judged.
-  for (const CrashReport& crash : news.crashes)
-    FindOrAddSuspect(crash.fingerprint).last_crash =
-        std::max(m_suspects[crash.fingerprint].last_crash, crash.at);
+  for (const CrashReport& crash : news.crashes) {
+    Suspect& suspect = FindOrAddSuspect(crash.fingerprint);
+    suspect.last_crash = std::max(suspect.last_crash, crash.at);
+  }
   for (const SurvivalReport& survival : news.survivals) {
     const auto found = m_suspects.find(survival.fingerprint);
     if (found != m_suspects.end() &&
--- a/tests/gateway/request_quarantine_test.cc
+++ b/tests/gateway/request_quarantine_test.cc
@@ -240,6 +240,24 @@
   EXPECT_EQ(m_quarantine.quarantined(), 0U);
 }
 
+// Guards against crashes that other instances report and that grow the memory
+// beyond its bound.
+TEST_F(OneInstanceTest, MergedCrashesAreBounded) {
+  for (uint32_t message = 0; message < 30; ++message) {
+    CrashNews news;
+    for (uint32_t i = 0; i < kMaxSuspectsInMessage; ++i) {
+      const uint32_t number = message * kMaxSuspectsInMessage + i;
+      news.crashes.push_back({.fingerprint = Fingerprint(number),
+                              .service = ServiceOf(0),
+                              .server = Server(number),
+                              .caller_attempt = CallerAttemptKey(number),
+                              .at = At(milliseconds(number))});
+    }
+    m_quarantine.Merge(news, At(seconds(4)));
+  }
+  EXPECT_LE(m_quarantine.suspects(), kMaxSuspectRequests);
+}
+
 TEST_F(OneInstanceTest, ReleaseForgetsEarlierCrashes) {
   for (uint32_t i = 1; i <= 3; ++i)
     Crash(kCrashing, i, i, seconds(i));
