--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -756,7 +756,7 @@
     return 2;
   }
   signal(SIGPIPE, SIG_IGN);
-  for (const int number : {SIGALRM, SIGTERM, SIGINT, SIGHUP})
+  for (const int number : {SIGALRM, SIGTERM, SIGINT, SIGHUP, SIGSEGV, SIGABRT})
     signal(number, EndAll);
   std::set_terminate([] { EndAll(0); });
   alarm(kLongestCaseSeconds);
