Identify teams by their keys, and keep their allowances over all instances

Change: TeamDirectory finds the team of a key; unknown keys get 401 before a body is read. The owner of a team's ledger, chosen by rendezvous hashing, sums up the use of all instances. Instances admit at once and report afterwards while enough is left, and ask first otherwise. Marks of nearly used allowances travel with the observations. AnswerMargin adds the round trip that TCP has measured and the lateness of this instance's own answers.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -182,6 +182,13 @@
   }
   m_input.erase(0, used);
   SetState(State::kBody);
+  if (m_parser.state() == ParseState::kBody && m_listener->m_head_check) {
+    if (auto rejection =
+            m_listener->m_head_check(m_parser.target(), m_parser.headers())) {
+      StartWrite(Serialise(*rejection, m_head_request, true), true);
+      return false;
+    }
+  }
   if (m_parser.state() == ParseState::kBody &&
       EqualsIgnoreCase(m_parser.headers().Find("Expect"), "100-continue"))
     WriteSome(m_socket.fd(), kContinue);
@@ -212,7 +219,8 @@
                          .headers = &m_parser.headers(),
                          .body = m_parser.TakeBody(),
                          .received_at = m_loop->Now(),
-                         .first_on_connection = m_first_request};
+                         .first_on_connection = m_first_request,
+                         .round_trip = RoundTrip(m_socket.fd())};
   m_first_request = false;
   UpdateEvents();
   m_listener->m_handler(std::move(request), *this);
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -31,6 +32,8 @@
   // First request on its connection, so the caller also waited for the
   // handshake.
   bool first_on_connection = false;
+  // Measured by TCP; empty if unknown.
+  std::optional<Duration> round_trip{};
 };
 
 struct OutboundResponse {
@@ -53,6 +56,11 @@
 };
 
 using RequestHandler = std::function<void(InboundRequest, Responder&)>;
+// Called with the target and the fields of a request whose body is not read
+// yet. A response rejects the request at once; its connection is closed.
+using HeadCheck =
+    std::function<std::optional<OutboundResponse>(std::string_view target,
+                                                  const HeaderList& headers)>;
 
 class CallerConnection;
 
@@ -68,6 +76,7 @@
 
   // Address in use, "ip:port".
   const std::string& address() const { return m_address; }
+  void SetHeadCheck(HeadCheck check) { m_head_check = std::move(check); }
   // Limits of the configuration in force.
   void SetLimits(const CallerLimits& limits) { m_limits = limits; }
   const CallerLimits& limits() const { return m_limits; }
@@ -97,6 +106,7 @@
 
   EventLoop* const m_loop;
   const RequestHandler m_handler;
+  HeadCheck m_head_check;
   CallerLimits m_limits;
   Socket m_socket;
   std::string m_address;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -38,11 +38,13 @@
 
 Exchange::Exchange(GatewayContext* context,
                    RoutePtr route,
+                   TeamPtr team,
                    InboundRequest request,
                    Responder* responder,
                    std::function<void(Exchange*)> done)
     : m_context(context),
       m_route(std::move(route)),
+      m_team(std::move(team)),
       m_responder(responder),
       m_done(std::move(done)),
       m_request_id(
@@ -85,7 +87,11 @@
        .timeout = m_route->config.timeout,
        .caller_timeout = caller_timeout,
        .max_caller_timeout = m_route->stats->max_caller_timeout,
-       .first_on_connection = request.first_on_connection});
+       .first_on_connection = request.first_on_connection,
+       .answer_margin = m_context->answer_margin->For(
+           request.round_trip, m_route->config.objective),
+       .round_trip = request.round_trip});
+  m_round_trip = request.round_trip;
   if (m_context->answer_by) {
     m_fits_before_stop = FitsBeforeStop(m_times, m_route->config.idempotent,
                                         *m_context->answer_by);
@@ -102,6 +108,24 @@
   ArmTimer();
 }
 
+bool Exchange::IsOwnField(std::string_view name) const {
+  const HeaderNames& names = m_context->platform->headers;
+  if (EqualsIgnoreCase(name, "Content-Length") ||
+      EqualsIgnoreCase(name, "Expect") ||
+      EqualsIgnoreCase(name, names.deadline) ||
+      EqualsIgnoreCase(name, names.target_server))
+    return true;
+  // Servers must be able to trust the field that names the team, and no server
+  // may learn the key of a caller.
+  return m_route->requires_keys && (EqualsIgnoreCase(name, names.api_key) ||
+                                    EqualsIgnoreCase(name, names.team));
+}
+
+uint32_t Exchange::Priority() const {
+  return m_team != nullptr && m_team->priority ? *m_team->priority
+                                               : m_route->config.priority;
+}
+
 // Builds the request head without the deadline and target server fields, which
 // differ between attempts.
 void Exchange::BuildHead(const InboundRequest& request) {
@@ -111,14 +135,15 @@
   const std::string_view connection = headers.Find("Connection");
   for (size_t i = 0; i < headers.size(); ++i) {
     const HeaderList::Field field = headers.at(i);
-    if (IsHopByHop(field.name, connection) ||
-        EqualsIgnoreCase(field.name, "Content-Length") ||
-        EqualsIgnoreCase(field.name, "Expect") ||
-        EqualsIgnoreCase(field.name, names.deadline) ||
-        EqualsIgnoreCase(field.name, names.target_server))
+    if (IsHopByHop(field.name, connection) || IsOwnField(field.name))
       continue;
     m_head.append(field.name).append(": ").append(field.value).append("\r\n");
   }
+  if (m_team != nullptr)
+    m_head.append(names.team)
+        .append(": ")
+        .append(m_team->id.value())
+        .append("\r\n");
   if (!request.body.empty() || headers.Has("Content-Length") ||
       headers.Has("Transfer-Encoding"))
     m_head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
@@ -146,7 +171,8 @@
 void Exchange::OnTimer() {
   m_timer.reset();
   const TimePoint now = m_context->loop->Now();
-  m_objective_passed = m_objective_passed || now >= m_times.objective_at;
+  m_answer_due = !m_objective_passed && now >= m_times.objective_at;
+  m_objective_passed = m_objective_passed || m_answer_due;
   m_deadline_passed = m_deadline_passed || now >= m_times.deadline;
   if (!m_deadline_passed) {
     m_defer_evaluation = true;
@@ -163,6 +189,7 @@
     m_defer_evaluation = false;
   }
   Evaluate();
+  m_answer_due = false;
 }
 
 TimePoint Exchange::NextTimerAt() const {
@@ -252,6 +279,11 @@
                                                 {"service", service.value()}});
   }
   m_responder->Respond(std::move(answer.response));
+  if (m_answer_due) {
+    m_context->loop->UpdateTime();
+    m_context->answer_margin->OnSent(m_context->loop->Now() -
+                                     m_times.objective_at);
+  }
   m_context->metrics->CountParts(answer.merged, m_parts.size() - answer.merged);
   Finish(kOk, m_objective_passed ? "objective" : "complete");
 }
@@ -285,13 +317,20 @@
   return m_context->platform->headers.retry_after + ": " + text + "\r\n";
 }
 
+bool Exchange::MayHaveRun() const {
+  const auto started = [](const Part& part) {
+    return std::any_of(part.outstanding.begin(), part.outstanding.end(),
+                       [](const Attempt* attempt) {
+                         return attempt->connection->request_started();
+                       });
+  };
+  return m_may_have_run || std::any_of(m_parts.begin(), m_parts.end(), started);
+}
+
 // Answers 503 only if no server can have run the request, since callers take a
 // 503 as proof that it was not run.
 void Exchange::Fail() {
-  for (const Part& part : m_parts) {
-    for (const Attempt* attempt : part.outstanding)
-      m_may_have_run = m_may_have_run || attempt->connection->request_started();
-  }
+  m_may_have_run = MayHaveRun();
   if (m_reply) {
     const int status = m_reply->status;
     m_responder->Respond(std::move(*m_reply));
@@ -333,6 +372,7 @@
 
 void Exchange::Finish(int status, const char* why) {
   m_finished = true;
+  m_may_have_run = MayHaveRun();
   AbandonAll();
   if (m_timer)
     m_context->loop->Unsubscribe(*m_timer);
@@ -369,6 +409,9 @@
        {"ms",
         static_cast<double>((m_context->loop->Now() - m_received_at).count()) /
             1000.0},
+       {"team", m_team != nullptr ? m_team->id.value() : ""},
+       {"rtt_us", m_round_trip.value_or(Duration(-1)).count()},
+       {"late_us", m_context->answer_margin->lateness().count()},
        {"left_ms", (m_times.deadline - m_context->loop->Now()).count() / 1000},
        {"parts", m_parts.size()},
        {"answered", m_answered},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -27,10 +27,12 @@
 // answered exactly once, as DecideAnswer() determines.
 class Exchange : public AttemptListener {
  public:
-  // `done` is called once, when the request has ended; the exchange may be
+  // `team` is that of the caller; null if it is not known. `done` is called
+  // once, when the request has ended; the exchange may be
   // destroyed from then on.
   Exchange(GatewayContext* context,
            RoutePtr route,
+           TeamPtr team,
            InboundRequest request,
            Responder* responder,
            std::function<void(Exchange*)> done);
@@ -45,6 +47,8 @@
   void OnAttemptEnd(Attempt& attempt,
                     AttemptOutcome outcome,
                     MessageParser* reply) override;
+  // Some server may have run the request, at least in part, or may yet do so.
+  bool MayHaveRun() const;
 
  private:
   enum class PartState : uint8_t {
@@ -78,6 +82,10 @@
   // Initialization.
   void InitDeadlines(const InboundRequest& request);
   void BuildHead(const InboundRequest& request);
+  // True for fields of the request that are not passed on as they are.
+  bool IsOwnField(std::string_view name) const;
+  // 0 is the most urgent.
+  uint32_t Priority() const;
   // Quarantine of requests that crash servers.
   QuarantineStatus Quarantine() const;
   bool IsQuarantined() const {
@@ -159,6 +167,7 @@
 
   GatewayContext* const m_context;
   const RoutePtr m_route;
+  const TeamPtr m_team;
   Responder* m_responder;
   const std::function<void(Exchange*)> m_done;
   std::string m_request_id;
@@ -168,6 +177,7 @@
   std::string m_body;
   TimePoint m_received_at;
   RequestTimes m_times;
+  std::optional<Duration> m_round_trip;
   bool m_fits_before_stop = true;
   // Only canaries are sent until a server has answered one.
   bool m_cautious = false;
@@ -178,6 +188,8 @@
   bool m_retry_canary_sent = false;
   bool m_retry_canary_answered = false;
   bool m_objective_passed = false;
+  // The objective passes in the present call.
+  bool m_answer_due = false;
   bool m_deadline_passed = false;
   bool m_defer_evaluation = false;
   bool m_finished = false;
@@ -192,7 +204,7 @@
   uint32_t m_crashes = 0;
   // Losses that may be crashes: the server was not heard again.
   uint32_t m_unexplained_losses = 0;
-  // Some server may have run the request, at least in part.
+  // Some attempt that has ended may have been run.
   bool m_may_have_run = false;
   uint32_t m_hedges = 0;
   uint32_t m_retries = 0;
--- a/src/gateway/exchange_parts.cc
+++ b/src/gateway/exchange_parts.cc
@@ -84,7 +84,7 @@
   for (Part& part : m_parts) {
     if (m_context->limits->any())
       part.service->CountDemand();
-    if (!part.service->Admit(m_route->config.priority, draw)) {
+    if (!part.service->Admit(Priority(), draw)) {
       FailPart(part, "not_admitted");
     } else if (part.service->IsAtLimit()) {
       m_context->metrics->CountLimit("rejected");
--- a/src/gateway/feed_selector.cc
+++ b/src/gateway/feed_selector.cc
@@ -28,6 +28,7 @@
 
 void FeedSelector::SetInstance(const InstanceId& id, InstanceRecord record) {
   m_instances[id] = std::move(record);
+  ++m_generation;
   m_removed_at.erase(id);
 }
 
@@ -46,6 +47,7 @@
     if (now - entry.second < kInstanceRemovalGrace)
       return false;
     m_instances.erase(entry.first);
+    ++m_generation;
     return true;
   });
 }
--- a/src/gateway/feed_selector.h
+++ b/src/gateway/feed_selector.h
@@ -3,6 +3,7 @@
 
 // PRIVATE HEADER. Selects where an instance reads changes of the store from.
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -57,6 +58,11 @@
   // Forgets instances whose entries were removed long enough ago.
   void Prune(TimePoint now);
   bool Has(const InstanceId& id) const { return m_instances.contains(id); }
+  // All instances, and a number that changes with them.
+  const std::map<InstanceId, InstanceRecord>& instances() const {
+    return m_instances;
+  }
+  uint64_t generation() const { return m_generation; }
   // Number of instances other than this one.
   size_t other_count() const {
     return m_instances.size() - (Has(m_self) ? 1 : 0);
@@ -95,6 +101,7 @@
   const InstanceId m_self;
   const DataCentreId m_data_centre;
   std::map<InstanceId, InstanceRecord> m_instances;
+  uint64_t m_generation = 0;
   std::map<InstanceId, TimePoint> m_removed_at;
   std::map<std::string, Backoff> m_backoffs;
   TimePoint m_store_retry_at;
--- a/src/gateway/fleet_message.cc
+++ b/src/gateway/fleet_message.cc
@@ -15,6 +15,7 @@
 constexpr const char* kSurvivals = "survivals";
 constexpr const char* kLimits = "limits";
 constexpr const char* kLeaving = "leaving";
+constexpr const char* kAllowanceMarks = "allowances";
 constexpr const char* kDemand = "demand";
 constexpr const char* kDemandInstances = "demand_instances";
 
@@ -90,6 +91,9 @@
   for (const LeavingStatement& statement : message.leaving)
     out[kLeaving].push_back(
         {statement.server.value(), AgeMillis(statement.at, now)});
+  for (const AllowanceMark& mark : message.allowance_marks)
+    out[kAllowanceMarks].push_back(
+        {mark.team.value(), mark.ask_first, AgeMillis(mark.at, now)});
   std::string text;
   json::to_msgpack(out, text);
   return text;
@@ -109,6 +113,10 @@
   for (const json& item : in.value(kLeaving, json::array()))
     out.leaving.push_back({.server = ServerKey(item.at(0).get<uint32_t>()),
                            .at = FromAge(item.at(1), now)});
+  for (const json& item : in.value(kAllowanceMarks, json::array()))
+    out.allowance_marks.push_back({.team = TeamKey(item.at(0).get<uint64_t>()),
+                                   .ask_first = item.at(1).get<bool>(),
+                                   .at = FromAge(item.at(2), now)});
   for (const json& item : in.value(kDemand, json::array()))
     out.demand.per_second[ServerKey(item.at(0).get<uint32_t>())] =
         std::max(item.at(1).get<double>(), 0.0);
--- a/src/gateway/fleet_message.h
+++ b/src/gateway/fleet_message.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/allowance/allowance_marks.h"
 #include "gateway/leaving_servers.h"
 #include "gateway/request_quarantine.h"
 #include "gateway/server_limits.h"
@@ -23,6 +24,7 @@
   CrashNews crash_news;
   std::vector<LimitStatement> limits;
   std::vector<LeavingStatement> leaving;
+  std::vector<AllowanceMark> allowance_marks;
 };
 
 // Times are sent as ages, since the clocks of instances differ.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -13,7 +14,9 @@
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 // Delay before a watch is opened again, as a share of the shorter of the bounds
 // for drains and configuration changes. Leaves time for a slow store.
@@ -87,10 +90,13 @@
                 .crash_alert = &m_crash_alert,
                 .limits = &m_limits,
                 .leaving = &m_leaving_servers,
+                .allowance_marks = &m_allowance_marks,
+                .answer_margin = &m_answer_margin,
                 .random = std::move(random)},
       m_feed_selector(m_settings.instance, m_settings.data_centre),
       m_observations(&m_context, &m_feed_selector),
       m_directory(&m_context),
+      m_allowances(&m_context),
       m_route_table_builder(&m_directory),
       m_caller_listener(loop,
                         m_settings.caller_address,
@@ -148,6 +154,10 @@
         [this](const InboundRequest& request, Responder& responder) {
           return OnInstanceCall(request, responder);
         });
+  m_caller_listener.SetHeadCheck(
+      [this](std::string_view target, const HeaderList& headers) {
+        return ExamineHead(target, headers).rejection;
+      });
   m_log.Info("started", {{"instance", m_settings.instance.value()},
                          {"data_centre", m_settings.data_centre.value()},
                          {"caller_address", m_settings.caller_address},
@@ -155,6 +165,11 @@
   m_loop->SetErrorHook([this](const std::exception& error) {
     m_log.Warning("unexpected_error", {{"reason", error.what()}});
   });
+  m_observations.SetAllowanceHook(
+      [this](const std::vector<AllowanceMark>& marks) {
+        m_allowances.OnMarks(marks);
+      });
+  m_allowances.SetNewsHook([this] { m_observations.ExchangeSoon(); });
   m_quarantine.SetNewsHook([this] { m_observations.ExchangeSoon(); });
   m_quarantine.SetClearanceHook([this](const QuarantineClearance& clearance) {
     m_metrics.CountQuarantine("cleared");
@@ -174,6 +189,8 @@
     m_quarantine.Sweep(m_loop->Now());
     m_limits.Sweep(m_loop->Now());
     m_leaving_servers.Sweep(m_loop->Now());
+    m_allowance_marks.Sweep(m_loop->Now());
+    m_allowances.Sweep();
   });
 }
 
@@ -196,11 +213,14 @@
 
 bool Gateway::OnInstanceCall(const InboundRequest& request,
                              Responder& responder) {
-  if (!IsObservationCall(request.target))
+  const bool is_allowance = IsAllowanceCall(request.target);
+  if (!is_allowance && !IsObservationCall(request.target))
     return false;
   try {
     responder.Respond(
-        {.body = m_observations.OnCall(request.target, request.body)});
+        {.body = is_allowance
+                     ? m_allowances.OnCall(request.target, request.body)
+                     : m_observations.OnCall(request.target, request.body)});
   } catch (const std::exception& error) {
     m_log.Warning("fleet_message_invalid",
                   {{"target", request.target}, {"reason", error.what()}});
@@ -218,47 +238,123 @@
        .body = m_metrics.Serialise()});
 }
 
-void Gateway::Refuse(Responder& responder, const char* retry_after_s) {
-  responder.Respond({.status = kUnavailable,
-                     .header_lines = m_platform.headers.retry_after + ": " +
-                                     retry_after_s + "\r\n"});
+OutboundResponse Gateway::Reject(const HeaderList& headers,
+                                 int status,
+                                 const char* why,
+                                 const char* retry_after_s) {
+  m_metrics.CountRejected(why);
+  m_log.Info(
+      "request_refused",
+      {{"request_id", std::string(headers.Find(m_platform.headers.request_id))},
+       {"status", status},
+       {"version", m_routes != nullptr ? m_routes->version().value() : 0},
+       {"key", KeyDigest(headers.Find(m_platform.headers.api_key))},
+       {"why", why}});
+  OutboundResponse out{.status = status};
+  if (retry_after_s != nullptr)
+    out.header_lines =
+        m_platform.headers.retry_after + ": " + retry_after_s + "\r\n";
+  return out;
 }
 
-void Gateway::OnRequest(InboundRequest request, Responder& responder) {
-  const std::string_view id =
-      request.headers->Find(m_platform.headers.request_id);
+Gateway::HeadDecision Gateway::ExamineHead(std::string_view target,
+                                           const HeaderList& headers) {
+  HeadDecision out;
   if (!m_has_listing || m_routes == nullptr) {
-    m_log.Warning("request_refused", {{"request_id", std::string(id)},
-                                      {"status", kUnavailable},
-                                      {"why", "no_configuration"}});
-    Refuse(responder, kUnconfiguredRetryAfterSeconds);
-    return;
+    out.rejection = Reject(headers, kUnavailable, "no_configuration",
+                           kUnconfiguredRetryAfterSeconds);
+    return out;
   }
   if (m_context.answer_by &&
       m_loop->Now() + kMinDrainServiceTime >= *m_context.answer_by) {
-    m_log.Info("request_refused", {{"request_id", std::string(id)},
-                                   {"status", kUnavailable},
-                                   {"why", "draining"}});
-    Refuse(responder, kDrainRetryAfterSeconds);
+    out.rejection =
+        Reject(headers, kUnavailable, "draining", kDrainRetryAfterSeconds);
+    return out;
+  }
+  out.route =
+      m_routes->Find(headers.Find("Host"), target.substr(0, target.find('?')));
+  if (out.route == nullptr) {
+    out.rejection = Reject(headers, kNotFound, "no_route");
+    return out;
+  }
+  if (headers.Find(m_platform.headers.request_id).empty()) {
+    out.rejection = Reject(headers, kBadRequest, "no_request_id");
+    return out;
+  }
+  CallerIdentity caller =
+      IdentifyCaller(m_routes->teams(), headers, m_platform.headers.api_key,
+                     out.route->config.is_public);
+  if (caller.status != CallerStatus::kAccepted)
+    out.rejection = Reject(headers, kUnauthorized, ToString(caller.status));
+  out.team = std::move(caller.team);
+  return out;
+}
+
+void Gateway::OnRequest(InboundRequest request, Responder& responder) {
+  HeadDecision head = ExamineHead(request.target, *request.headers);
+  if (head.rejection) {
+    responder.Respond(std::move(*head.rejection));
+    return;
+  }
+  AdmitTeam({.request = std::move(request),
+             .responder = &responder,
+             .head = std::move(head)});
+}
+
+void Gateway::AdmitTeam(HeldRequest request) {
+  if (request.head.team == nullptr) {
+    OnAllowance(request, {.admitted = true});
     return;
   }
-  const std::string_view path =
-      std::string_view(request.target)
-          .substr(0, std::string_view(request.target).find('?'));
-  RoutePtr route = m_routes->Find(request.headers->Find("Host"), path);
-  if (route == nullptr || id.empty()) {
-    const int status = route == nullptr ? kNotFound : kBadRequest;
-    m_log.Warning("request_refused",
-                  {{"request_id", std::string(id)},
-                   {"status", status},
-                   {"version", m_routes->version().value()},
-                   {"why", route == nullptr ? "no_route" : "no_request_id"}});
-    responder.Respond({.status = status});
+  const auto held = std::make_shared<AllowanceExchange::WaitId>(0);
+  const auto admission =
+      m_allowances.Admit(request.head.team, request.head.route->version,
+                         [this, held](const AllowanceVerdict& verdict) {
+                           if (auto found = m_held_requests.extract(*held))
+                             OnAllowance(found.mapped(), verdict);
+                         });
+  if (admission.verdict) {
+    OnAllowance(request, *admission.verdict);
     return;
   }
+  *held = admission.wait;
+  request.responder->SetDisconnectHook([this, id = admission.wait] {
+    m_allowances.Cancel(id);
+    m_held_requests.erase(id);
+  });
+  m_held_requests.emplace(admission.wait, std::move(request));
+}
+
+void Gateway::OnAllowance(HeldRequest& request,
+                          const AllowanceVerdict& verdict) {
+  if (verdict.admitted) {
+    StartExchange(std::move(request.request), *request.responder,
+                  std::move(request.head.route), request.head.team);
+    return;
+  }
+  char seconds[32];
+  std::snprintf(seconds, sizeof(seconds), "%.3f",
+                static_cast<double>(verdict.retry_after.count()) / 1e6);
+  m_log.Info("allowance_exceeded",
+             {{"request_id", std::string(request.request.headers->Find(
+                                 m_platform.headers.request_id))},
+              {"team", request.head.team->id.value()},
+              {"rate_per_s", request.head.team->allowance.rate},
+              {"retry_after_s", seconds}});
+  request.responder->Respond(
+      Reject(*request.request.headers, kTooManyRequests, "allowance", seconds));
+}
+
+void Gateway::StartExchange(InboundRequest request,
+                            Responder& responder,
+                            RoutePtr route,
+                            const TeamPtr& team) {
+  const ConfigVersion version = route->version;
   auto exchange = std::make_unique<Exchange>(
-      &m_context, std::move(route), std::move(request), &responder,
-      [this](Exchange* done) {
+      &m_context, std::move(route), team, std::move(request), &responder,
+      [this, team, version](Exchange* done) {
+        if (team != nullptr && !done->MayHaveRun())
+          m_allowances.Return(team, version);
         // The exchange may be on the call stack, so it is destroyed later.
         const auto found = m_exchanges.find(done);
         m_finished_exchanges.push_back(std::move(found->second));
@@ -446,6 +542,8 @@
   m_log.Info("configuration_in_force",
              {{"version", m_routes->version().value()},
               {"routes", m_routes->size()},
+              {"teams", m_routes->teams().teams()},
+              {"keys", m_routes->teams().keys()},
               {"revision", item.revision.value()}});
 }
 
@@ -493,6 +591,24 @@
   const auto listed = static_cast<uint32_t>(m_feed_selector.other_count() + 1);
   m_directory.SetInstanceCount(listed);
   m_limits.SetInstances(m_fleet_size.Estimate(listed));
+  UpdateAllowanceOwners(m_fleet_size.Estimate(listed));
+}
+
+void Gateway::UpdateAllowanceOwners(uint32_t estimate) {
+  if (m_owners_generation == m_feed_selector.generation() &&
+      m_allowance_estimate == estimate)
+    return;
+  m_owners_generation = m_feed_selector.generation();
+  m_allowance_estimate = estimate;
+  std::vector<AllowanceOwner> owners;
+  for (const auto& [id, record] : m_feed_selector.instances()) {
+    if (!record.feed_address.empty() && id != m_settings.instance)
+      owners.push_back({.id = id, .address = record.feed_address});
+  }
+  if (m_change_feed != nullptr)
+    owners.push_back(
+        {.id = m_settings.instance, .address = m_change_feed->address()});
+  m_allowances.SetInstances(std::move(owners), estimate);
 }
 
 void Gateway::OnStoreContact() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gateway/allowance/allowance_exchange.h"
 #include "gateway/caller_listener.h"
 #include "gateway/change_feed.h"
 #include "gateway/exchange.h"
@@ -57,11 +58,38 @@
   }
 
  private:
+  // What the head of a request leads to.
+  struct HeadDecision {
+    RoutePtr route;
+    TeamPtr team;
+    std::optional<OutboundResponse> rejection;
+  };
+
+  HeadDecision ExamineHead(std::string_view target, const HeaderList& headers);
+  // Logs and counts the rejection of a request.
+  OutboundResponse Reject(const HeaderList& headers,
+                          int status,
+                          const char* why,
+                          const char* retry_after_s = nullptr);
   void OnRequest(InboundRequest request, Responder& responder);
+  // A request whose team is near the end of its allowance.
+  struct HeldRequest {
+    InboundRequest request;
+    Responder* responder = nullptr;
+    HeadDecision head;
+  };
+
+  // Starts the request, rejects it, or holds it until the owner of the team's
+  // ledger has decided.
+  void AdmitTeam(HeldRequest request);
+  void OnAllowance(HeldRequest& request, const AllowanceVerdict& verdict);
+  void StartExchange(InboundRequest request,
+                     Responder& responder,
+                     RoutePtr route,
+                     const TeamPtr& team);
   void OnReadiness(const InboundRequest& request, Responder& responder);
   bool OnInstanceCall(const InboundRequest& request, Responder& responder);
   void OnMetrics(const InboundRequest& request, Responder& responder);
-  void Refuse(Responder& responder, const char* retry_after_s);
 
   void OnListing(const std::vector<StoreItem>& items, StorePosition position);
   void OnChange(const StoreItem& item);
@@ -74,6 +102,7 @@
   // Drops or writes again quarantined requests that the store does not list.
   void ReconcileQuarantine(const std::vector<StoreItem>& items, StoreEra era);
   void CountInstances();
+  void UpdateAllowanceOwners(uint32_t estimate);
   void OnStoreContact();
   void OnCaughtUp(StorePosition position);
   void UpdateGauges();
@@ -93,10 +122,16 @@
   CrashAlert m_crash_alert;
   ServerLimits m_limits;
   LeavingServers m_leaving_servers;
+  AllowanceMarks m_allowance_marks;
+  AnswerMargin m_answer_margin;
   GatewayContext m_context;
   FeedSelector m_feed_selector;
   ObservationExchange m_observations;
   ServerDirectory m_directory;
+  AllowanceExchange m_allowances;
+  std::optional<uint64_t> m_owners_generation;
+  uint32_t m_allowance_estimate = 0;
+  std::unordered_map<AllowanceExchange::WaitId, HeldRequest> m_held_requests;
   RouteTableBuilder m_route_table_builder;
   RouteTablePtr m_routes;
   std::unique_ptr<ChangeFeed> m_change_feed;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <optional>
 
+#include "gateway/allowance/allowance_marks.h"
+#include "gateway/answers/answer_margin.h"
 #include "gateway/crash_alert.h"
 #include "gateway/event_loop.h"
 #include "gateway/gateway_log.h"
@@ -36,6 +38,8 @@
   CrashAlert* crash_alert = nullptr;
   ServerLimits* limits = nullptr;
   LeavingServers* leaving = nullptr;
+  AllowanceMarks* allowance_marks = nullptr;
+  AnswerMargin* answer_margin = nullptr;
   // While the instance drains: time by which every request must be answered.
   std::optional<TimePoint> answer_by{};
   RandomSource random;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -59,6 +59,13 @@
           Counters(m_registry,
                    "wasabihook_gateway_crash_alert_total",
                    "Queries while servers of several services end, by event.")),
+      m_rejected(Counters(m_registry,
+                          "wasabihook_gateway_rejected_requests_total",
+                          "Requests rejected before they are started.")),
+      m_allowances(
+          Counters(m_registry,
+                   "wasabihook_gateway_allowance_total",
+                   "Decisions on allowances of teams, and calls, by event.")),
       m_drain(
           Counters(m_registry,
                    "wasabihook_gateway_drain_requests_total",
@@ -133,6 +140,14 @@
   CounterOf(m_crash_alert, "event", event).Increment();
 }
 
+void GatewayMetrics::CountRejected(const char* why) {
+  CounterOf(m_rejected, "why", why).Increment();
+}
+
+void GatewayMetrics::CountAllowance(const char* event) {
+  CounterOf(m_allowances, "event", event).Increment();
+}
+
 void GatewayMetrics::CountDrain(const char* event) {
   CounterOf(m_drain, "event", event).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -33,6 +33,10 @@
   void CountServerEntry(const char* event);
   // Queries while servers of several services end, by event.
   void CountCrashAlert(const char* event);
+  // Requests rejected by their head, or by the allowance of their team.
+  void CountRejected(const char* why);
+  // Decisions on allowances of teams, and calls for them, by event.
+  void CountAllowance(const char* event);
   // Requests that arrive during a planned stop, by event.
   void CountDrain(const char* event);
   // Servers that say they leave, by how it became known.
@@ -73,6 +77,8 @@
   prometheus::Family<prometheus::Counter>& m_quarantine;
   prometheus::Family<prometheus::Counter>& m_server_entries;
   prometheus::Family<prometheus::Counter>& m_crash_alert;
+  prometheus::Family<prometheus::Counter>& m_rejected;
+  prometheus::Family<prometheus::Counter>& m_allowances;
   prometheus::Family<prometheus::Counter>& m_drain;
   prometheus::Family<prometheus::Counter>& m_leaving;
   prometheus::Family<prometheus::Counter>& m_pauses;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -96,6 +96,11 @@
   b.drain = bounds.Millis("drain_ms", b.drain);
   b.config_apply = bounds.Millis("config_apply_ms", b.config_apply);
   b.grace = bounds.Seconds("grace_s", b.grace);
+  b.allowance_window = bounds.Seconds("allowance_window_s", b.allowance_window);
+  b.allowance_overage =
+      bounds.Number("allowance_overage", b.allowance_overage, 0, 10);
+  b.allowance_slack =
+      bounds.Number("allowance_slack", b.allowance_slack, 0, 1e6);
   if (!problems.empty())
     throw GatewaySettingsError(source + ": " + problems);
   return out;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -305,8 +305,20 @@
 // Time before the objective at which the answer is sent. Covers the transfer of
 // the answer, and that of the request before it was received.
 inline constexpr Duration kAnswerMargin = milliseconds(8);
+// Expected time by which an answer leaves later than planned, before it was
+// measured; steps of the estimate, which is a quantile of 0.9, and its bound.
+inline constexpr Duration kInitialAnswerLateness = milliseconds(2);
+inline constexpr Duration kLatenessStep = std::chrono::microseconds(200);
+inline constexpr int64_t kLatenessStepRatio = 9;
+inline constexpr Duration kMaxAnswerLateness = milliseconds(20);
+// Time that this instance does not see: until it has read a request that has
+// arrived, and until the last byte of an answer has arrived.
+inline constexpr Duration kAnswerTransferTime = milliseconds(3);
+// Longest margin that follows from a measured round trip, as a share of the
+// objective. Beyond it, answers would lack too many parts.
+inline constexpr double kMaxAnswerMarginShare = 0.35;
 // Added for the first request on a connection, since the caller also waited for
-// the handshake.
+// the handshake; if its round trip is not known.
 inline constexpr Duration kHandshakeMargin = milliseconds(4);
 // Maximum time that a part waits for a server with capacity, as a share of the
 // route's objective.
@@ -339,6 +351,57 @@
 // Closing it later prevents a request from racing with the close.
 inline constexpr Duration kIdleTimeoutMargin = milliseconds(500);
 
+// --- Teams ---
+// Bounds of a configuration, so that a wrong one cannot exhaust the memory of
+// the smallest machine. A value of the store has 1 MB at most.
+inline constexpr size_t kMaxTeams = 16'384;
+inline constexpr size_t kMaxApiKeys = 32'768;
+// Largest rate and burst of a team; above what the largest fleet serves.
+inline constexpr double kMaxAllowance = 1e9;
+// Share of the tolerance of an allowance that its ledger gives out, since
+// requests reach the ledger and the servers at different times. The rest covers
+// what is admitted without the ledger, or by two of them.
+inline constexpr double kAllowanceToleranceShare = 0.35;
+// Requests that a ledger without a past gives out at once: at least this many,
+// and at least this share of its capacity.
+inline constexpr double kFreshLedgerTokens = 2;
+inline constexpr double kFreshLedgerShare = 0.3;
+// Instances ask a ledger first from when it falls below the first share of its
+// capacity until it is above the second one.
+inline constexpr double kAllowanceLowWaterShare = 0.5;
+inline constexpr double kAllowanceHighWaterShare = 0.8;
+// Share of the burst and of the slack that all instances together have without
+// a ledger.
+inline constexpr double kAllowanceFallbackShare = 0.3;
+// Admitted requests of a team that an instance has not reported, after which it
+// asks first.
+inline constexpr uint32_t kMaxUnconfirmedAdmissions = 3;
+// Recent requests of a team from which the shares of the instances are taken,
+// and the smallest part of a request that counts there.
+inline constexpr double kAllowanceUseMemory = 50;
+inline constexpr double kMinAllowanceUse = 0.01;
+// Longest wait that Retry-After states for an allowance, in seconds, and the
+// shortest time over which returning callers are spread.
+inline constexpr double kMaxAllowanceWait = 5;
+inline constexpr Duration kMinAllowanceSpread = milliseconds(200);
+// Timeout of a call to the owner of a ledger, and time for which a request
+// waits for its reply before the instance decides alone. A busy instance on a
+// tenth of a core takes some 30 ms to answer.
+inline constexpr Duration kAllowanceCallTimeout = milliseconds(250);
+inline constexpr Duration kAllowanceHold = milliseconds(40);
+// Time for which an owner that did not answer is passed over; doubles up to the
+// maximum. Number of owners to try.
+inline constexpr Duration kAllowanceRetryDelay = seconds(1);
+inline constexpr Duration kAllowanceMaxRetryDelay = seconds(8);
+inline constexpr size_t kAllowanceOwners = 3;
+// Delay of a report that no request waits for; collects those of one moment.
+inline constexpr Duration kAllowanceReportDelay = milliseconds(5);
+// Teams in one message that are near the end of their allowances.
+inline constexpr size_t kMaxMarksInMessage = 1024;
+// Claims in one call, and time after which an unused account is forgotten.
+inline constexpr size_t kMaxClaimsInCall = 256;
+inline constexpr Duration kAllowanceAccountExpiry = seconds(60);
+
 // --- Store ---
 inline constexpr Duration kStoreCallTimeout = milliseconds(1500);
 inline constexpr Duration kStoreWatchWait = seconds(25);
@@ -420,6 +483,11 @@
   Duration config_apply = seconds(3);
   // Time between SIGTERM and SIGKILL.
   Duration grace = seconds(6);
+  // Tolerance of the allowances of teams: in each window, servers may run this
+  // share more than an allowance permits, plus a fixed slack.
+  Duration allowance_window = seconds(5);
+  double allowance_overage = 0.1;
+  double allowance_slack = 20;
 };
 
 struct GatewaySettings {
--- a/src/gateway/observation_exchange.cc
+++ b/src/gateway/observation_exchange.cc
@@ -68,6 +68,7 @@
   message.crash_news = m_context->quarantine->NewsSince(since);
   message.limits = m_context->limits->NewsSince(since);
   message.leaving = m_context->leaving->NewsSince(since);
+  message.allowance_marks = m_context->allowance_marks->NewsSince(since);
 }
 
 void ObservationExchange::MergeNews(const FleetMessage& message,
@@ -81,6 +82,13 @@
   if (const size_t added = m_context->leaving->Merge(message.leaving, now);
       added > 0)
     m_context->metrics->CountLeaving("received", static_cast<double>(added));
+  const std::vector<AllowanceMark> changed_marks =
+      m_context->allowance_marks->Merge(message.allowance_marks, now);
+  if (!changed_marks.empty()) {
+    if (m_allowance_hook)
+      m_allowance_hook(changed_marks);
+    ExchangeSoon();
+  }
 }
 
 void ObservationExchange::Send(const std::string& address, bool root) {
--- a/src/gateway/observation_exchange.h
+++ b/src/gateway/observation_exchange.h
@@ -3,11 +3,14 @@
 
 // PRIVATE HEADER. Exchanges what instances know of servers.
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "gateway/feed_selector.h"
 #include "gateway/fleet_message.h"
@@ -33,6 +36,11 @@
     return m_outliers.contains(server);
   }
 
+  // `hook` runs with the marks of others that have changed.
+  using AllowanceHook = std::function<void(const std::vector<AllowanceMark>&)>;
+  void SetAllowanceHook(AllowanceHook hook) {
+    m_allowance_hook = std::move(hook);
+  }
   // Exchanges soon, ahead of the period: something is known that must spread
   // fast.
   void ExchangeSoon();
@@ -60,6 +68,7 @@
 
   GatewayContext* const m_context;
   FeedSelector* const m_selector;
+  AllowanceHook m_allowance_hook;
   FleetObservations m_fleet;
   ObservationDigest m_outliers;
   bool m_root = true;
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -44,6 +44,10 @@
   std::string server_leaving;
   // How often the store was restored from an older copy; in all its replies.
   std::string store_era;
+  // Secret of a caller that names its team. Never passed on.
+  std::string api_key;
+  // Team of the caller, as stated to servers.
+  std::string team;
 };
 
 using ServiceName = StrongId<struct ServiceNameTag, std::string>;
@@ -75,6 +79,28 @@
   uint32_t top_records = 0;
   // Minimum share of the shards that a merged answer must cover.
   Fraction min_shard_share;
+  // Callers need no key, even if the configuration has teams.
+  bool is_public = false;
+};
+
+// Requests that a team may send to all instances together.
+struct Allowance {
+  // Per second; 0: no limit.
+  double rate = 0;
+  double burst = 0;
+
+  bool limited() const { return rate > 0; }
+  friend bool operator==(const Allowance&, const Allowance&) = default;
+};
+
+// Callers that share keys and an allowance.
+struct TeamConfig {
+  TeamId id;
+  // None while all its keys are withdrawn.
+  std::vector<std::string> api_keys;
+  // Takes precedence over the priority of the route.
+  std::optional<uint32_t> priority;
+  Allowance allowance;
 };
 
 struct ServiceConfig {
@@ -95,6 +121,8 @@
   ConfigVersion version;
   std::vector<RouteConfig> routes;
   std::vector<ServiceConfig> services;
+  // Callers need a key if there are any.
+  std::vector<TeamConfig> teams;
   CallerLimits limits;
 };
 
--- a/src/gateway/request_times.cc
+++ b/src/gateway/request_times.cc
@@ -26,9 +26,13 @@
   }
   if (elapsed >= input.objective)
     elapsed = Duration(0);
+  // The stated rest of the budget shows how long a handshake took.
+  const bool unseen_handshake =
+      input.first_on_connection && elapsed == Duration(0);
   const Duration margin =
-      kAnswerMargin +
-      (input.first_on_connection ? kHandshakeMargin : Duration(0));
+      input.answer_margin + (unseen_handshake
+                                 ? input.round_trip.value_or(kHandshakeMargin)
+                                 : Duration(0));
   const auto queue = Duration(static_cast<int64_t>(
       static_cast<double>(input.objective.count()) * kMaxQueueShare));
   RequestTimes out;
--- a/src/gateway/request_times.h
+++ b/src/gateway/request_times.h
@@ -19,6 +19,10 @@
   std::optional<Duration> caller_timeout;
   Duration max_caller_timeout{0};
   bool first_on_connection = false;
+  // Time before the objective at which the answer must be sent.
+  Duration answer_margin{0};
+  // Round trip to the caller; empty if unknown.
+  std::optional<Duration> round_trip;
 };
 
 struct RequestTimes {
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -39,9 +39,10 @@
 }
 
 RoutePtr RouteTableBuilder::MakeRoute(RouteConfig config,
-                                      ConfigVersion version) {
+                                      const RouteTable& table) {
   auto route = std::make_shared<Route>();
-  route->version = version;
+  route->version = table.version();
+  route->requires_keys = table.teams().requires_keys();
   std::shared_ptr<RouteStats>& stats = m_stats[config.name];
   if (stats == nullptr)
     stats = std::make_shared<RouteStats>();
@@ -66,12 +67,13 @@
   auto table = std::make_shared<RouteTable>();
   table->m_version = config.version;
   table->m_limits = config.limits;
+  table->m_teams = TeamDirectory(config.teams);
   table->m_size = config.routes.size();
   for (const ServiceConfig& service : config.services)
     m_directory->SetMaxConnections(service.name, service.max_connections);
   for (RouteConfig& route : config.routes) {
     const std::string host = NormalizeHost(route.host);
-    table->m_hosts[host].push_back(MakeRoute(std::move(route), config.version));
+    table->m_hosts[host].push_back(MakeRoute(std::move(route), *table));
   }
   for (auto& [host, routes] : table->m_hosts) {
     std::stable_sort(routes.begin(), routes.end(),
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -14,6 +14,7 @@
 #include "gateway/hedge_delay.h"
 #include "gateway/platform_adapter.h"
 #include "gateway/server_directory.h"
+#include "gateway/teams/team_directory.h"
 #include "gateway/weighted_choice.h"
 
 namespace wasabihook::gateway {
@@ -36,6 +37,8 @@
   std::vector<std::shared_ptr<Service>> services;
   // Minimum number of shards that an answer must cover; 1 without a scatter.
   uint32_t required_parts = 1;
+  // The configuration has teams, and callers state their keys.
+  bool requires_keys = false;
   std::shared_ptr<RouteStats> stats;
 
   bool scatters() const { return !config.gather.empty(); }
@@ -51,12 +54,14 @@
   RoutePtr Find(std::string_view host, std::string_view path) const;
   ConfigVersion version() const { return m_version; }
   const CallerLimits& limits() const { return m_limits; }
+  const TeamDirectory& teams() const { return m_teams; }
   size_t size() const { return m_size; }
 
  private:
   friend class RouteTableBuilder;
   ConfigVersion m_version;
   CallerLimits m_limits;
+  TeamDirectory m_teams;
   size_t m_size = 0;
   // Routes by host, in order of descending prefix length.
   std::unordered_map<std::string, std::vector<RoutePtr>> m_hosts;
@@ -69,10 +74,12 @@
  public:
   explicit RouteTableBuilder(ServerDirectory* directory)
       : m_directory(directory) {}
+  // Throws std::runtime_error if the teams are not valid; nothing has changed
+  // then.
   RouteTablePtr Build(RoutingConfig config);
 
  private:
-  RoutePtr MakeRoute(RouteConfig config, ConfigVersion version);
+  RoutePtr MakeRoute(RouteConfig config, const RouteTable& table);
 
   ServerDirectory* const m_directory;
   std::map<RouteName, std::shared_ptr<RouteStats>> m_stats;
--- a/src/gateway/socket.cc
+++ b/src/gateway/socket.cc
@@ -131,6 +131,15 @@
   return out;
 }
 
+std::optional<Duration> RoundTrip(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+      info.tcpi_rtt == 0)
+    return std::nullopt;
+  return std::chrono::microseconds(info.tcpi_rtt);
+}
+
 IoResult ReadSome(int fd, char* buffer, size_t size) {
   const ssize_t count = recv(fd, buffer, size, 0);
   if (count > 0)
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -61,6 +62,8 @@
   size_t bytes = 0;
 };
 
+// Smoothed round-trip time of a connection; empty if TCP does not tell it.
+std::optional<Duration> RoundTrip(int fd);
 IoResult ReadSome(int fd, char* buffer, size_t size);
 IoResult WriteSome(int fd, std::string_view data);
 
