Bound what callers hold, and give up the crowd first

Cause: requests that stop short of their end, large bodies after a 413, and copies of a body for each shard had no common bound, and connections took all descriptors.

Change: CallerBudget counts the bytes and connections of all callers. Beyond a bound, a member of the source address that holds most is given up: 503 if its request is still being read, else a close. Requests that are served are never given up; further ones get 503. Bodies that are announced too large, and bodies to paths without a route, are rejected before they are read. Shards share one copy of a body. Bounds follow from limits.memory_mb and limits.max_fds.

--- a/src/gateway/backend_server.cc
+++ b/src/gateway/backend_server.cc
@@ -176,7 +176,8 @@
   ++m_outstanding;
   slot->connection->Send(std::move(request.bytes),
                          std::move(request.request_id), request.head_only,
-                         std::min(request.deadline, now + kMaxUnsentAge));
+                         std::min(request.deadline, now + kMaxUnsentAge),
+                         std::move(request.shared_body));
   return slot->attempt.get();
 }
 
--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -71,6 +71,8 @@
   AttemptListener* listener = nullptr;
   size_t part = 0;
   std::string bytes;
+  // Follows `bytes`; may be null.
+  std::shared_ptr<const std::string> shared_body{};
   std::string request_id;
   Fingerprint fingerprint;
   bool head_only = false;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -16,8 +16,11 @@
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
+constexpr int kUnavailable = 503;
 constexpr int kHeaderTooLarge = 431;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
+// For callers whose requests find no room.
+constexpr std::string_view kRetryAfterLine = "Retry-After: 0.200\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::array<char, kReadBufferBytes>& ReadBuffer() {
@@ -57,6 +60,7 @@
     : m_listener(listener),
       m_loop(loop),
       m_socket(std::move(socket)),
+      m_source(PeerAddress(m_socket.fd())),
       m_state_since(loop->Now()) {
   m_watched_events = EPOLLIN;
   m_loop->Watch(m_socket.fd(), m_watched_events, this);
@@ -143,6 +147,8 @@
       continue;
     m_input.append(buffer.data(), result.bytes);
     Parse();
+    if (!ReportBytes())
+      return;
     if (result.bytes < buffer.size())
       return;
   }
@@ -182,6 +188,10 @@
   }
   m_input.erase(0, used);
   SetState(State::kBody);
+  if (m_parser.announced_body_bytes() > m_listener->limits().max_body_bytes) {
+    RespondWithError(kContentTooLarge);
+    return false;
+  }
   if (m_parser.state() == ParseState::kBody && m_listener->m_head_check) {
     if (auto rejection =
             m_listener->m_head_check(m_parser.target(), m_parser.headers())) {
@@ -223,14 +233,61 @@
                          .round_trip = RoundTrip(m_socket.fd())};
   m_first_request = false;
   UpdateEvents();
+  CallerBudget* budget = m_listener->m_budget;
+  if (budget != nullptr &&
+      !budget->BeginService(
+          this, request.body.capacity() + m_parser.headers().held_bytes())) {
+    RejectForMemory();
+    return;
+  }
   m_listener->m_handler(std::move(request), *this);
 }
 
 void CallerConnection::RespondWithError(int status) {
   m_disconnect_hook = nullptr;
+  FreeRequest();
   StartWrite(Serialise({.status = status}, false, true), true);
 }
 
+void CallerConnection::RejectForMemory() {
+  m_disconnect_hook = nullptr;
+  FreeRequest();
+  StartWrite(Serialise({.status = kUnavailable,
+                        .header_lines = std::string(kRetryAfterLine)},
+                       false, true),
+             true);
+}
+
+void CallerConnection::FreeRequest() {
+  m_parser.Start();
+  m_input = std::string();
+}
+
+size_t CallerConnection::held_bytes() const {
+  return m_parser.held_bytes() + m_input.capacity() + m_output.capacity();
+}
+
+bool CallerConnection::ReportBytes() {
+  CallerBudget* budget = m_listener->m_budget;
+  return budget == nullptr || m_state == State::kClosed ||
+         budget->SetBytes(this, held_bytes());
+}
+
+std::optional<TimePoint> CallerConnection::waiting_since() const {
+  if (m_state == State::kWaiting)
+    return std::nullopt;
+  return m_state_since;
+}
+
+void CallerConnection::GiveUp(bool close) {
+  const bool reads_request =
+      m_state == State::kBody || (m_state == State::kHead && m_head_started);
+  if (close || !reads_request)
+    Close();
+  else
+    RejectForMemory();
+}
+
 void CallerConnection::Respond(OutboundResponse response) {
   if (m_state != State::kWaiting)
     return;
@@ -243,8 +300,11 @@
   m_output = std::move(text);
   m_output_sent = 0;
   m_close_after_response = close;
+  if (m_listener->m_budget != nullptr)
+    m_listener->m_budget->EndService(this);
   SetState(State::kWriting);
   Flush();
+  ReportBytes();
 }
 
 void CallerConnection::Flush() {
@@ -291,7 +351,7 @@
 // the caller has read the response.
 void CallerConnection::Linger() {
   shutdown(m_socket.fd(), SHUT_WR);
-  m_input.clear();
+  FreeRequest();
   SetState(State::kLingering);
   UpdateEvents();
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -4,6 +4,7 @@
 // PRIVATE HEADER. Server side of one HTTP/1.1 connection.
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "gateway/caller_listener.h"
@@ -11,7 +12,9 @@
 namespace wasabihook::gateway {
 
 // Connection of one caller. Requests are served one at a time, in order.
-class CallerConnection : public IoHandler, public Responder {
+class CallerConnection : public IoHandler,
+                         public Responder,
+                         public CallerMember {
  public:
   CallerConnection(CallerListener* listener, EventLoop* loop, Socket socket);
   ~CallerConnection() override;
@@ -22,6 +25,9 @@
   }
   void OnIo(uint32_t events) override;
   void Abort() override { Close(); }
+  SourceAddress source() const override { return m_source; }
+  std::optional<TimePoint> waiting_since() const override;
+  void GiveUp(bool close) override;
 
   // Closes the connection, or answers with status 408, if a timeout of the
   // current state has expired.
@@ -48,6 +54,11 @@
   void ParseBody();
   void Dispatch();
   void RespondWithError(int status);
+  void RejectForMemory();
+  // Reports what the connection holds. False if it was given up for it.
+  bool ReportBytes();
+  size_t held_bytes() const;
+  void FreeRequest();
   void StartWrite(std::string text, bool close);
   void Flush();
   void OnWritten();
@@ -59,6 +70,7 @@
   CallerListener* const m_listener;
   EventLoop* const m_loop;
   Socket m_socket;
+  const SourceAddress m_source;
   State m_state = State::kHead;
   TimePoint m_state_since;
   // The first byte of the current request head was read.
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -57,6 +57,8 @@
     auto connection =
         std::make_unique<CallerConnection>(this, m_loop, std::move(accepted));
     CallerConnection* key = connection.get();
+    if (m_budget != nullptr && !m_budget->Add(key))
+      continue;
     m_connections.emplace(key, std::move(connection));
   }
 }
@@ -65,6 +67,8 @@
   const auto found = m_connections.find(connection);
   if (found == m_connections.end())
     return;
+  if (m_budget != nullptr)
+    m_budget->Remove(connection);
   m_loop->Retire(std::move(found->second));
   m_connections.erase(found);
 }
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "gateway/callers/caller_budget.h"
 #include "gateway/event_loop.h"
 #include "gateway/http_message.h"
 #include "gateway/platform_adapter.h"
@@ -76,6 +77,9 @@
 
   // Address in use, "ip:port".
   const std::string& address() const { return m_address; }
+  // Bounds what the connections hold, together with those of other listeners.
+  // Set before connections are accepted.
+  void SetBudget(CallerBudget* budget) { m_budget = budget; }
   void SetHeadCheck(HeadCheck check) { m_head_check = std::move(check); }
   // Limits of the configuration in force.
   void SetLimits(const CallerLimits& limits) { m_limits = limits; }
@@ -107,6 +111,7 @@
   EventLoop* const m_loop;
   const RequestHandler m_handler;
   HeadCheck m_head_check;
+  CallerBudget* m_budget = nullptr;
   CallerLimits m_limits;
   Socket m_socket;
   std::string m_address;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -57,7 +57,7 @@
       m_received_at(request.received_at) {
   InitDeadlines(request);
   BuildHead(request);
-  m_body = std::move(request.body);
+  m_body = std::make_shared<const std::string>(std::move(request.body));
   m_hedge_delay =
       m_route->stats->hedge_delay.DelayFor(m_route->config.objective);
   m_median_latency = m_route->stats->hedge_delay.median_latency();
@@ -154,7 +154,8 @@
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       m_times.deadline - m_context->loop->Now());
   std::string out;
-  out.reserve(m_head.size() + m_body.size() + 128);
+  const bool shares_body = m_body->size() >= kMinSharedBodyBytes;
+  out.reserve(m_head.size() + (shares_body ? 0 : m_body->size()) + 128);
   out += m_head;
   out += names.deadline;
   out += ": ";
@@ -164,7 +165,8 @@
   out += ": ";
   out += server.entry().id.value();
   out += "\r\n\r\n";
-  out += m_body;
+  if (!shares_body)
+    out += *m_body;
   return out;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -174,7 +174,8 @@
   const Fingerprint m_fingerprint;
   bool m_head_only = false;
   std::string m_head;  // Request line and header fields common to all parts.
-  std::string m_body;
+  // Shared by the parts that are sent.
+  std::shared_ptr<const std::string> m_body;
   TimePoint m_received_at;
   RequestTimes m_times;
   std::optional<Duration> m_round_trip;
--- a/src/gateway/exchange_parts.cc
+++ b/src/gateway/exchange_parts.cc
@@ -163,6 +163,8 @@
   request.listener = this;
   request.part = static_cast<size_t>(&part - m_parts.data());
   request.bytes = RequestBytes(*server);
+  if (m_body->size() >= kMinSharedBodyBytes)
+    request.shared_body = m_body;
   request.request_id = m_request_id;
   request.fingerprint = m_fingerprint;
   request.head_only = m_head_only;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -38,6 +38,8 @@
 constexpr Duration kExpirySweepPeriod = std::chrono::seconds(1);
 // Value of Retry-After while no configuration is known.
 constexpr const char* kUnconfiguredRetryAfterSeconds = "0.250";
+// Value of Retry-After while the requests in flight take all memory they may.
+constexpr const char* kOverloadRetryAfterSeconds = "0.200";
 
 Duration RearmDelay(const ServiceBounds& bounds) {
   const Duration shorter = std::min(bounds.drain, bounds.config_apply);
@@ -98,6 +100,8 @@
       m_directory(&m_context),
       m_allowances(&m_context),
       m_route_table_builder(&m_directory),
+      m_caller_budget(ComputeCallerBounds(m_settings.memory_mb << 20,
+                                          m_settings.max_descriptors)),
       m_caller_listener(loop,
                         m_settings.caller_address,
                         [this](InboundRequest request, Responder& responder) {
@@ -146,6 +150,7 @@
         [this](const InboundRequest& request, Responder& responder) {
           OnMetrics(request, responder);
         });
+    m_metrics_listener->SetLimits({.max_body_bytes = kMaxProbeBodyBytes});
   }
   if (!m_settings.feed_address.empty())
     m_change_feed = std::make_unique<ChangeFeed>(loop, m_settings.feed_address);
@@ -154,6 +159,9 @@
         [this](const InboundRequest& request, Responder& responder) {
           return OnInstanceCall(request, responder);
         });
+  m_caller_listener.SetBudget(&m_caller_budget);
+  m_readiness_listener.SetBudget(&m_caller_budget);
+  m_readiness_listener.SetLimits({.max_body_bytes = kMaxProbeBodyBytes});
   m_caller_listener.SetHeadCheck(
       [this](std::string_view target, const HeaderList& headers) {
         return ExamineHead(target, headers).rejection;
@@ -350,9 +358,20 @@
                             RoutePtr route,
                             const TeamPtr& team) {
   const ConfigVersion version = route->version;
+  const size_t parts = route->scatters() ? route->services.size() : 1;
+  if ((m_parts_in_flight + parts) * kPartBytes >
+      m_caller_budget.bounds().bytes) {
+    if (team != nullptr)
+      m_allowances.Return(team, version);
+    responder.Respond(Reject(*request.headers, kUnavailable, "memory",
+                             kOverloadRetryAfterSeconds));
+    return;
+  }
+  m_parts_in_flight += parts;
   auto exchange = std::make_unique<Exchange>(
       &m_context, std::move(route), team, std::move(request), &responder,
-      [this, team, version](Exchange* done) {
+      [this, team, version, parts](Exchange* done) {
+        m_parts_in_flight -= parts;
         if (team != nullptr && !done->MayHaveRun())
           m_allowances.Return(team, version);
         // The exchange may be on the call stack, so it is destroyed later.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -143,6 +143,9 @@
   bool m_has_listing = false;
   StorePosition m_store_position;
   FleetSize m_fleet_size;
+  CallerBudget m_caller_budget;
+  // Parts of the requests in flight, which take memory of their own.
+  size_t m_parts_in_flight = 0;
   std::optional<TimePoint> m_drain_started;
   CallerListener m_caller_listener;
   CallerListener m_readiness_listener;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -88,6 +88,14 @@
   out.feed_address = listen.Text("feed", false);
   TableReader store(root, "store", problems);
   out.store_address = store.Text("address", true);
+  TableReader limits(root, "limits", problems);
+  constexpr double kMinMemoryMb = 32;
+  constexpr double kMinDescriptors = 256;
+  out.memory_mb = static_cast<size_t>(limits.Number(
+      "memory_mb", static_cast<double>(out.memory_mb), kMinMemoryMb, 1e6));
+  out.max_descriptors = static_cast<size_t>(
+      limits.Number("max_fds", static_cast<double>(out.max_descriptors),
+                    kMinDescriptors, 1e7));
   TableReader bounds(root, "bounds", problems);
   ServiceBounds& b = out.bounds;
   b.retry_ratio = bounds.Number("retry_ratio", b.retry_ratio, 0, 10);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -338,6 +338,24 @@
 inline constexpr Duration kDefaultTimeout = seconds(10);
 
 // --- Callers ---
+// Share of the memory that the requests and answers of all callers have
+// together; half of it while requests are being served. On the smallest machine
+// (160 MB) that is 160 requests of the largest size.
+inline constexpr double kCallerMemoryShare = 0.25;
+// Descriptors that are kept for files; callers get half of the others, and at
+// least the minimum.
+inline constexpr size_t kReservedDescriptors = 200;
+inline constexpr size_t kMinCallerConnections = 16;
+// Memory and descriptors of a process whose settings don't state them.
+inline constexpr size_t kDefaultMemoryMb = 160;
+inline constexpr size_t kDefaultMaxDescriptors = 4096;
+// Largest body of a request for readiness or metrics.
+inline constexpr size_t kMaxProbeBodyBytes = 1024;
+// Memory of one shard's part of a query, beside the reply; all queries in
+// flight have the same share of the memory as requests.
+inline constexpr size_t kPartBytes = 1024;
+// A body of at least this size is not copied for each shard.
+inline constexpr size_t kMinSharedBodyBytes = size_t{4} * 1024;
 inline constexpr int kListenBacklog = 1024;
 inline constexpr Duration kCallerUserTimeout = seconds(5);
 inline constexpr Duration kCallerKeepalive = seconds(5);
@@ -500,6 +518,9 @@
   // Address of the feed for other instances. No changes are forwarded if empty.
   std::string feed_address;
   std::string store_address;
+  // Of the machine; the process ends beyond them.
+  size_t memory_mb = kDefaultMemoryMb;
+  size_t max_descriptors = kDefaultMaxDescriptors;
   ServiceBounds bounds;
 };
 
--- a/src/gateway/http_message.cc
+++ b/src/gateway/http_message.cc
@@ -188,6 +188,13 @@
   Reject(MessageFault::kNoMemory);
 }
 
+uint64_t MessageParser::announced_body_bytes() const {
+  return m_state == ParseState::kBody &&
+                 m_parser.content_length != kNoContentLength
+             ? m_parser.content_length
+             : 0;
+}
+
 std::string MessageParser::TakeBody() {
   return std::move(m_body);
 }
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -101,6 +101,8 @@
   const HeaderList& headers() const { return m_headers; }
   const std::string& body() const { return m_body; }
   std::string TakeBody();
+  // Content-Length of the head; 0 if it has none.
+  uint64_t announced_body_bytes() const;
   const std::string& target() const { return m_target; }
   std::string_view method() const;
   int status() const { return static_cast<int>(m_parser.status_code); }
--- a/src/gateway/server_connection.cc
+++ b/src/gateway/server_connection.cc
@@ -52,8 +52,10 @@
 void ServerConnection::Send(std::string bytes,
                             std::string request_id,
                             bool head_only,
-                            std::optional<TimePoint> start_before) {
+                            std::optional<TimePoint> start_before,
+                            std::shared_ptr<const std::string> shared_body) {
   m_output = std::move(bytes);
+  m_shared_body = std::move(shared_body);
   m_output_sent = 0;
   m_request_id = std::move(request_id);
   m_head_only = head_only;
@@ -77,13 +79,24 @@
                       this);
 }
 
+size_t ServerConnection::OutputSize() const {
+  return m_output.size() +
+         (m_shared_body != nullptr ? m_shared_body->size() : 0);
+}
+
+std::string_view ServerConnection::Unsent() const {
+  if (m_output_sent < m_output.size())
+    return std::string_view(m_output).substr(m_output_sent);
+  return std::string_view(*m_shared_body)
+      .substr(m_output_sent - m_output.size());
+}
+
 // A write error is not reported here but at the end of the stream, so that what
 // the server has sent before is read. The failed write takes the error off the
 // socket, and a read then reports the end as if it were in order.
 void ServerConnection::Flush() {
-  while (m_output_sent < m_output.size()) {
-    const IoResult result = WriteSome(
-        m_socket.fd(), std::string_view(m_output).substr(m_output_sent));
+  while (m_output_sent < OutputSize()) {
+    const IoResult result = WriteSome(m_socket.fd(), Unsent());
     if (result.status != IoStatus::kOk) {
       m_write_failed = result.status != IoStatus::kWouldBlock;
       SetWriting(!m_write_failed);
@@ -223,9 +236,10 @@
   m_idle_since = m_loop->Now();
   // The connection can't be reused if extra bytes follow the reply, if the
   // reply came before the whole request was sent, or if it announces the close.
-  m_must_close = !rest.empty() || m_output_sent < m_output.size() ||
-                 !m_parser.keep_alive();
+  m_must_close =
+      !rest.empty() || m_output_sent < OutputSize() || !m_parser.keep_alive();
   m_output.clear();
+  m_shared_body.reset();
   m_output_sent = 0;
   if (m_must_close)
     Close();
--- a/src/gateway/server_connection.h
+++ b/src/gateway/server_connection.h
@@ -5,8 +5,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "gateway/event_loop.h"
 #include "gateway/http_message.h"
@@ -55,10 +57,12 @@
   // usable(). `head_only`: the method is HEAD. A request that could not be
   // started by `start_before`, for example because the process was suspended,
   // ends with kNotSent.
+  // `shared_body` follows `bytes`; may be null.
   void Send(std::string bytes,
             std::string request_id,
             bool head_only,
-            std::optional<TimePoint> start_before = std::nullopt);
+            std::optional<TimePoint> start_before = std::nullopt,
+            std::shared_ptr<const std::string> shared_body = nullptr);
   // Closes the connection without further events. A request in progress is
   // dropped.
   void Close();
@@ -109,7 +113,12 @@
   const std::string* const m_request_id_field;
   Socket m_socket;
   MessageParser m_parser;
+  size_t OutputSize() const;
+  // The rest of the head, or of the shared body behind it.
+  std::string_view Unsent() const;
+
   std::string m_output;
+  std::shared_ptr<const std::string> m_shared_body;
   size_t m_output_sent = 0;
   std::string m_request_id;
   std::optional<TimePoint> m_start_before;
--- a/src/gateway/socket.cc
+++ b/src/gateway/socket.cc
@@ -131,6 +131,15 @@
   return out;
 }
 
+uint32_t PeerAddress(int fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  if (getpeername(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0 ||
+      address.sin_family != AF_INET)
+    return 0;
+  return ntohl(address.sin_addr.s_addr);
+}
+
 std::optional<Duration> RoundTrip(int fd) {
   tcp_info info{};
   socklen_t size = sizeof(info);
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -62,6 +63,8 @@
   size_t bytes = 0;
 };
 
+// IPv4 address of the peer, in host order; 0 if unknown.
+uint32_t PeerAddress(int fd);
 // Smoothed round-trip time of a connection; empty if TCP does not tell it.
 std::optional<Duration> RoundTrip(int fd);
 IoResult ReadSome(int fd, char* buffer, size_t size);
