Share room fairly among teams, learn what servers take, obey evacuations

Cause: admission knew priorities only, so one team's burst took the room of the others; each instance learnt alone how fast a server is, from one reply in several seconds; an evacuated data centre went on getting requests.

Change: FairShares divides the room of a limited service max-min fairly by the work that teams ask for in the whole fleet (TeamDemand travels along the tree of observations). ServerPaces shares the relative latency of each server the same way, where capacity.learn is set; choice is in proportion among servers of one data centre that are nearly as good. Evacuations keep requests from the servers of a data centre, also through a restored store. Fields that the Connection field names are looked up instead of searched.

--- a/src/gateway/admission_rate.cc
+++ b/src/gateway/admission_rate.cc
@@ -80,13 +80,19 @@
   return std::min(1.0, equal_share + rest / own_demand);
 }
 
-bool AdmissionRate::Admit(uint32_t priority, double draw, TimePoint now) {
+bool AdmissionRate::Admit(uint32_t priority,
+                          double draw,
+                          TimePoint now,
+                          const TeamShare& team_share) {
   Advance(now);
   const size_t index = std::min<size_t>(priority, kPriorities - 1);
   ++m_slices[static_cast<size_t>(m_slice % kSlices)][index];
   ++m_demand[index];
-  if (m_limit && draw >= AdmittedShare(priority))
-    return false;
+  if (m_limit) {
+    const double share = AdmittedShare(priority);
+    if (draw >= (team_share ? team_share(share) : share))
+      return false;
+  }
   ++m_admitted;
   return true;
 }
--- a/src/gateway/admission_rate.h
+++ b/src/gateway/admission_rate.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <optional>
 
 #include "gateway/gateway_settings.h"
@@ -26,9 +27,16 @@
 // instance in the slots of a service is less than one request.
 class AdmissionRate {
  public:
+  // Share of the requests of one team to admit, given that of all.
+  using TeamShare = std::function<double(double admitted_share)>;
+
   // Counts one request of `priority` (0 is the most urgent) and returns true if
-  // it is admitted. `draw` is a random number, uniform in [0, 1).
-  bool Admit(uint32_t priority, double draw, TimePoint now);
+  // it is admitted. `draw` is a random number, uniform in [0, 1). `team_share`
+  // may be null.
+  bool Admit(uint32_t priority,
+             double draw,
+             TimePoint now,
+             const TeamShare& team_share = nullptr);
   // Reports that no server had capacity for an admitted request.
   void OnRejected(TimePoint now);
   // True while a limit is in force.
--- a/src/gateway/answers/answer_margin.cc
+++ b/src/gateway/answers/answer_margin.cc
@@ -21,7 +21,9 @@
     return kAnswerMargin;
   const auto most = Duration(static_cast<int64_t>(
       static_cast<double>(objective.count()) * kMaxAnswerMarginShare));
-  return std::max(kAnswerMargin, std::min(*round_trip + m_lateness + kAnswerTransferTime, most));
+  return std::max(
+      kAnswerMargin,
+      std::min(*round_trip + m_lateness + kAnswerTransferTime, most));
 }
 
 }  // namespace wasabihook::gateway
--- a/src/gateway/backend_server.cc
+++ b/src/gateway/backend_server.cc
@@ -217,6 +217,13 @@
          m_context->observer->IsOutlier(m_key);
 }
 
+double BackendServer::Pace(TimePoint now) const {
+  const double own = m_health.relative_latency();
+  return m_context->settings->learns_capacity
+             ? m_context->paces->PaceOf(m_key, own, now)
+             : own;
+}
+
 void BackendServer::Detach(Attempt* attempt) {
   attempt->listener = nullptr;
   attempt->abandoned_at = std::max(attempt->deadline, m_context->loop->Now());
@@ -353,6 +360,14 @@
     case AttemptOutcome::kFailure:
       m_health.OnReply(now - attempt.sent_at, attempt.median_latency,
                        outcome == AttemptOutcome::kFailure, now);
+      if (m_context->settings->learns_capacity &&
+          outcome == AttemptOutcome::kReply &&
+          attempt.median_latency > Duration(0))
+        m_context->paces->Add(
+            m_key,
+            static_cast<double>((now - attempt.sent_at).count()) /
+                static_cast<double>(attempt.median_latency.count()),
+            now);
       break;
     case AttemptOutcome::kRefused:
       m_health.OnRefusal(now);
--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -147,6 +147,9 @@
   // True if other instances agree that the server is slow or fails, unless it
   // has just answered this one well.
   bool IsOutlier(TimePoint now) const;
+  // Latency relative to the median of the route, as this instance and the fleet
+  // see it.
+  double Pace(TimePoint now) const;
   // Drops interest in the reply to `attempt`, but lets the request run until
   // its deadline.
   void Detach(Attempt* attempt);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -132,10 +132,10 @@
   const HeaderNames& names = m_context->platform->headers;
   m_head = request.method + " " + request.target + " HTTP/1.1\r\n";
   const HeaderList& headers = *request.headers;
-  const std::string_view connection = headers.Find("Connection");
+  const HopByHopFields hop_by_hop(headers.Find("Connection"));
   for (size_t i = 0; i < headers.size(); ++i) {
     const HeaderList::Field field = headers.at(i);
-    if (IsHopByHop(field.name, connection) || IsOwnField(field.name))
+    if (hop_by_hop.Contains(field.name) || IsOwnField(field.name))
       continue;
     m_head.append(field.name).append(": ").append(field.value).append("\r\n");
   }
--- a/src/gateway/exchange_parts.cc
+++ b/src/gateway/exchange_parts.cc
@@ -22,10 +22,10 @@
 // Header fields of a reply that are forwarded to the caller.
 std::string ForwardedLines(const HeaderList& headers) {
   std::string out;
-  const std::string_view connection = headers.Find("Connection");
+  const HopByHopFields hop_by_hop(headers.Find("Connection"));
   for (size_t i = 0; i < headers.size(); ++i) {
     const HeaderList::Field field = headers.at(i);
-    if (IsHopByHop(field.name, connection) ||
+    if (hop_by_hop.Contains(field.name) ||
         EqualsIgnoreCase(field.name, "Content-Length"))
       continue;
     out.append(field.name).append(": ").append(field.value).append("\r\n");
@@ -81,10 +81,19 @@
 // requests.
 void Exchange::AdmitParts() {
   const double draw = m_context->Uniform();
+  AdmissionRate::TeamShare team_share;
+  if (m_team != nullptr) {
+    m_context->team_demand->Add(m_team->key,
+                                static_cast<double>(m_parts.size()),
+                                m_context->loop->Now());
+    team_share = [this](double admitted_share) {
+      return m_context->fair_shares->ShareOf(m_team->key, admitted_share);
+    };
+  }
   for (Part& part : m_parts) {
     if (m_context->limits->any())
       part.service->CountDemand();
-    if (!part.service->Admit(Priority(), draw)) {
+    if (!part.service->Admit(Priority(), draw, team_share)) {
       FailPart(part, "not_admitted");
     } else if (part.service->IsAtLimit()) {
       m_context->metrics->CountLimit("rejected");
--- a/src/gateway/fleet_message.cc
+++ b/src/gateway/fleet_message.cc
@@ -15,6 +15,8 @@
 constexpr const char* kSurvivals = "survivals";
 constexpr const char* kLimits = "limits";
 constexpr const char* kLeaving = "leaving";
+constexpr const char* kTeamDemand = "team_demand";
+constexpr const char* kPaces = "paces";
 constexpr const char* kAllowanceMarks = "allowances";
 constexpr const char* kDemand = "demand";
 constexpr const char* kDemandInstances = "demand_instances";
@@ -91,6 +93,14 @@
   for (const LeavingStatement& statement : message.leaving)
     out[kLeaving].push_back(
         {statement.server.value(), AgeMillis(statement.at, now)});
+  for (const auto& [team, work] : message.team_demand) {
+    if (out[kTeamDemand].size() < kMaxTeamsInMessage)
+      out[kTeamDemand].push_back({team.value(), work});
+  }
+  if (!message.paces.empty()) {
+    const std::string text = EncodePaces(message.paces);
+    out[kPaces] = json::binary(std::vector<uint8_t>(text.begin(), text.end()));
+  }
   for (const AllowanceMark& mark : message.allowance_marks)
     out[kAllowanceMarks].push_back(
         {mark.team.value(), mark.ask_first, AgeMillis(mark.at, now)});
@@ -113,6 +123,13 @@
   for (const json& item : in.value(kLeaving, json::array()))
     out.leaving.push_back({.server = ServerKey(item.at(0).get<uint32_t>()),
                            .at = FromAge(item.at(1), now)});
+  for (const json& item : in.value(kTeamDemand, json::array()))
+    out.team_demand[TeamKey(item.at(0).get<uint64_t>())] =
+        std::max(item.at(1).get<double>(), 0.0);
+  if (const auto found = in.find(kPaces); found != in.end()) {
+    const json::binary_t& bytes = found->get_binary();
+    out.paces = DecodePaces(std::string(bytes.begin(), bytes.end()));
+  }
   for (const json& item : in.value(kAllowanceMarks, json::array()))
     out.allowance_marks.push_back({.team = TeamKey(item.at(0).get<uint64_t>()),
                                    .ask_first = item.at(1).get<bool>(),
--- a/src/gateway/fleet_message.h
+++ b/src/gateway/fleet_message.h
@@ -7,7 +7,9 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/admission/team_demand.h"
 #include "gateway/allowance/allowance_marks.h"
+#include "gateway/capacity/server_paces.h"
 #include "gateway/leaving_servers.h"
 #include "gateway/request_quarantine.h"
 #include "gateway/server_limits.h"
@@ -25,6 +27,8 @@
   std::vector<LimitStatement> limits;
   std::vector<LeavingStatement> leaving;
   std::vector<AllowanceMark> allowance_marks;
+  TeamDemandDigest team_demand;
+  PaceDigest paces;
 };
 
 // Times are sent as ages, since the clocks of instances differ.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -92,6 +92,10 @@
                 .crash_alert = &m_crash_alert,
                 .limits = &m_limits,
                 .leaving = &m_leaving_servers,
+                .team_demand = &m_team_demand,
+                .fair_shares = &m_fair_shares,
+                .paces = &m_paces,
+                .evacuations = &m_evacuations,
                 .allowance_marks = &m_allowance_marks,
                 .answer_margin = &m_answer_margin,
                 .random = std::move(random)},
@@ -198,6 +202,7 @@
     m_limits.Sweep(m_loop->Now());
     m_leaving_servers.Sweep(m_loop->Now());
     m_allowance_marks.Sweep(m_loop->Now());
+    m_evacuations.Sweep(m_loop->Now());
     m_allowances.Sweep();
   });
 }
@@ -397,12 +402,16 @@
   if (restored)
     m_directory.OnLeasesLost();
   std::vector<ServerId> servers;
+  std::set<DataCentreId> evacuated;
   m_feed_selector.RemoveAllInstances(m_loop->Now());
   for (const StoreItem& item : items) {
     if (m_platform.classify_key(item.key) == KeyKind::kServer)
       servers.push_back(m_platform.parse_server_id(item.key));
+    if (m_platform.classify_key(item.key) == KeyKind::kEvacuation)
+      evacuated.insert(m_platform.parse_evacuation(item.key));
     ApplyItem(item);
   }
+  m_evacuations.Reconcile(evacuated, restored, m_loop->Now());
   m_directory.Reconcile(servers, position);
   ReconcileQuarantine(items, position.era);
   CountInstances();
@@ -458,11 +467,24 @@
     case KeyKind::kQuarantine:
       ApplyQuarantine(item);
       break;
+    case KeyKind::kEvacuation:
+      ApplyEvacuation(item);
+      break;
     case KeyKind::kOther:
       break;
   }
 }
 
+void Gateway::ApplyEvacuation(const StoreItem& item) {
+  const DataCentreId data_centre = m_platform.parse_evacuation(item.key);
+  const bool changed = item.removed ? m_evacuations.End(data_centre)
+                                    : m_evacuations.Begin(data_centre);
+  if (changed)
+    m_log.Info(item.removed ? "evacuation_ended" : "evacuation_in_force",
+               {{"data_centre", data_centre.value()},
+                {"revision", item.revision.value()}});
+}
+
 void Gateway::OnVerdict(const QuarantineVerdict& verdict) {
   m_log.Warning(
       "request_quarantined",
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -98,6 +98,7 @@
   void ApplyServer(const StoreItem& item);
   void ApplyInstance(const StoreItem& item);
   void ApplyQuarantine(const StoreItem& item);
+  void ApplyEvacuation(const StoreItem& item);
   void OnVerdict(const QuarantineVerdict& verdict);
   // Drops or writes again quarantined requests that the store does not list.
   void ReconcileQuarantine(const std::vector<StoreItem>& items, StoreEra era);
@@ -122,6 +123,10 @@
   CrashAlert m_crash_alert;
   ServerLimits m_limits;
   LeavingServers m_leaving_servers;
+  TeamDemand m_team_demand;
+  FairShares m_fair_shares;
+  ServerPaces m_paces;
+  Evacuations m_evacuations;
   AllowanceMarks m_allowance_marks;
   AnswerMargin m_answer_margin;
   GatewayContext m_context;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,9 +6,13 @@
 #include <memory>
 #include <optional>
 
+#include "gateway/admission/fair_shares.h"
+#include "gateway/admission/team_demand.h"
 #include "gateway/allowance/allowance_marks.h"
 #include "gateway/answers/answer_margin.h"
+#include "gateway/capacity/server_paces.h"
 #include "gateway/crash_alert.h"
+#include "gateway/evacuation/evacuations.h"
 #include "gateway/event_loop.h"
 #include "gateway/gateway_log.h"
 #include "gateway/gateway_metrics.h"
@@ -38,6 +42,10 @@
   CrashAlert* crash_alert = nullptr;
   ServerLimits* limits = nullptr;
   LeavingServers* leaving = nullptr;
+  TeamDemand* team_demand = nullptr;
+  FairShares* fair_shares = nullptr;
+  ServerPaces* paces = nullptr;
+  Evacuations* evacuations = nullptr;
   AllowanceMarks* allowance_marks = nullptr;
   AnswerMargin* answer_margin = nullptr;
   // While the instance drains: time by which every request must be answered.
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -35,6 +35,16 @@
     return fallback;
   }
 
+  bool Flag(const char* key, bool fallback) {
+    const auto node = Node(key);
+    if (!node)
+      return fallback;
+    const auto value = node.value_exact<bool>();
+    if (!value)
+      Add(key, "must be true or false");
+    return value.value_or(fallback);
+  }
+
   Duration Millis(const char* key, Duration fallback) {
     return Time(key, fallback, 1e3);
   }
@@ -96,6 +106,8 @@
   out.max_descriptors = static_cast<size_t>(
       limits.Number("max_fds", static_cast<double>(out.max_descriptors),
                     kMinDescriptors, 1e7));
+  TableReader capacity(root, "capacity", problems);
+  out.learns_capacity = capacity.Flag("learn", out.learns_capacity);
   TableReader bounds(root, "bounds", problems);
   ServiceBounds& b = out.bounds;
   b.retry_ratio = bounds.Number("retry_ratio", b.retry_ratio, 0, 10);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -166,6 +166,31 @@
 // Time for which a good reply to this instance outweighs the fleet's view.
 inline constexpr Duration kOwnObservationPeriod = seconds(1);
 
+// --- What servers take well ---
+// Sliding window of the latencies that an instance passes on, and time after
+// which the view of the fleet no longer counts. Replies that a view needs.
+inline constexpr Duration kPaceWindow = seconds(2);
+inline constexpr Duration kPaceExpiry = milliseconds(2500);
+inline constexpr uint32_t kMinPaceReplies = 4;
+// Replies at which the view of the fleet and that of this instance weigh the
+// same.
+inline constexpr double kOwnPaceReplies = 4;
+// Factor by which an estimate improves at most in one exchange, and bounds of
+// one sample: a stall must not outweigh a hundred normal replies.
+inline constexpr double kPaceRecovery = 0.8;
+inline constexpr double kMinPace = 0.2;
+inline constexpr double kMaxPace = 20;
+// Servers in one message.
+inline constexpr size_t kMaxPacesInMessage = 2048;
+// A server of the same data centre whose cost is below this multiple of the
+// lowest one is chosen with a probability in proportion to the inverse square
+// of its cost, so that the instances don't all choose the same one.
+inline constexpr double kPaceChoiceFactor = 1.8;
+
+// --- Evacuations ---
+// Time in which operators write again what a restored store lacks.
+inline constexpr Duration kEvacuationRewriteTime = seconds(5);
+
 // --- Requests that crash servers ---
 // A request is quarantined once this many starts of servers have ended under
 // it, in the attempts of this many callers or repetitions, and the crashes are
@@ -301,6 +326,12 @@
 // priority.
 inline constexpr double kEqualPriorityShare = 0.6;
 
+// Sliding window over which the demand of teams is measured, teams in one
+// message, and the smallest share of a team in what a service admits.
+inline constexpr Duration kTeamDemandWindow = seconds(1);
+inline constexpr size_t kMaxTeamsInMessage = 1024;
+inline constexpr double kMinTeamShare = 0.3;
+
 // --- Answers ---
 // Time before the objective at which the answer is sent. Covers the transfer of
 // the answer, and that of the request before it was received.
@@ -521,6 +552,8 @@
   // Of the machine; the process ends beyond them.
   size_t memory_mb = kDefaultMemoryMb;
   size_t max_descriptors = kDefaultMaxDescriptors;
+  // Instances share how long the replies of each server take.
+  bool learns_capacity = false;
   ServiceBounds bounds;
 };
 
--- a/src/gateway/http_message.cc
+++ b/src/gateway/http_message.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <limits>
 
 namespace wasabihook::gateway {
@@ -51,16 +52,12 @@
          parser.status_code != kNoContent && parser.status_code != kNotModified;
 }
 
-bool ListContains(std::string_view list, std::string_view name) {
-  while (!list.empty()) {
-    const size_t comma = list.find(',');
-    if (EqualsIgnoreCase(Trim(list.substr(0, comma)), name))
-      return true;
-    if (comma == std::string_view::npos)
-      return false;
-    list.remove_prefix(comma + 1);
-  }
-  return false;
+std::string ToLower(std::string_view text) {
+  std::string out(text);
+  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return out;
 }
 
 }  // namespace
@@ -124,12 +121,24 @@
   return count;
 }
 
-bool IsHopByHop(std::string_view name, std::string_view connection) {
-  for (const std::string_view known : kHopByHop) {
-    if (EqualsIgnoreCase(name, known))
-      return true;
+HopByHopFields::HopByHopFields(std::string_view connection) {
+  while (!connection.empty()) {
+    const size_t comma = connection.find(',');
+    if (const auto name = Trim(connection.substr(0, comma)); !name.empty())
+      m_named.push_back(ToLower(name));
+    connection.remove_prefix(comma == std::string_view::npos ? connection.size()
+                                                             : comma + 1);
   }
-  return ListContains(connection, name);
+  std::sort(m_named.begin(), m_named.end());
+}
+
+bool HopByHopFields::Contains(std::string_view name) const {
+  const bool known = std::any_of(
+      kHopByHop.begin(), kHopByHop.end(),
+      [name](std::string_view other) { return EqualsIgnoreCase(name, other); });
+  return known ||
+         (!m_named.empty() &&
+          std::binary_search(m_named.begin(), m_named.end(), ToLower(name)));
 }
 
 MessageParser::MessageParser(Type type, const MessageLimits& limits)
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -55,9 +55,17 @@
   bool m_in_value = true;
 };
 
-// True for hop-by-hop fields, which must not be forwarded. `connection` is the
-// value of the message's Connection field, which may name further ones.
-bool IsHopByHop(std::string_view name, std::string_view connection);
+// Hop-by-hop fields of a message, which must not be forwarded.
+class HopByHopFields {
+ public:
+  // `connection`: value of the Connection field, which may name further ones.
+  explicit HopByHopFields(std::string_view connection);
+  bool Contains(std::string_view name) const;
+
+ private:
+  // In lower case, sorted.
+  std::vector<std::string> m_named;
+};
 
 enum class ParseState : uint8_t { kHead, kBody, kComplete, kError };
 
--- a/src/gateway/observation_exchange.cc
+++ b/src/gateway/observation_exchange.cc
@@ -104,6 +104,8 @@
   if (!root) {
     message.observations = m_fleet.Subtree(now);
     message.demand = Demand().Subtree(now);
+    message.team_demand = m_context->team_demand->Subtree(now);
+    message.paces = m_context->paces->Subtree(now);
   }
   AddNews(message, peer.wants_all, now);
   const std::string target(root ? kRootTarget : kFollowerTarget);
@@ -124,9 +126,16 @@
                                          std::move(received.observations), now);
             Demand().tree().SetDataCentre(address, std::move(received.demand),
                                           now);
+            m_context->team_demand->tree().SetDataCentre(
+                address, std::move(received.team_demand), now);
+            m_context->paces->tree().SetDataCentre(
+                address, std::move(received.paces), now);
           } else {
             m_fleet.tree().SetResult(std::move(received.observations), now);
             Demand().tree().SetResult(std::move(received.demand), now);
+            m_context->team_demand->tree().SetResult(
+                std::move(received.team_demand), now);
+            m_context->paces->tree().SetResult(std::move(received.paces), now);
           }
           if (const auto peer = m_peers.find(address); peer != m_peers.end()) {
             peer->second.answered_at = now;
@@ -154,6 +163,8 @@
   if (target.starts_with(kRootTarget)) {
     reply.observations = m_fleet.Subtree(now);
     reply.demand = Demand().Subtree(now);
+    reply.team_demand = m_context->team_demand->Subtree(now);
+    reply.paces = m_context->paces->Subtree(now);
     return EncodeFleetMessage(reply, now);
   }
   const std::string follower(target.substr(kFollowerTarget.size()));
@@ -161,8 +172,14 @@
   reply.wants_all = !m_fleet.tree().HasFollower(follower, now);
   m_fleet.tree().SetFollower(follower, std::move(received.observations), now);
   Demand().tree().SetFollower(follower, std::move(received.demand), now);
+  m_context->team_demand->tree().SetFollower(
+      follower, std::move(received.team_demand), now);
+  m_context->paces->tree().SetFollower(follower, std::move(received.paces),
+                                       now);
   reply.observations = m_outliers;
   reply.demand = Demand().Total(m_root, now);
+  reply.team_demand = m_context->team_demand->Total(m_root, now);
+  reply.paces = m_context->paces->Total(m_root, now);
   return EncodeFleetMessage(reply, now);
 }
 
@@ -173,6 +190,9 @@
 void ObservationExchange::UpdateResults() {
   const TimePoint now = m_context->loop->Now();
   m_context->limits->SetTotalDemand(Demand().Total(m_root, now), now);
+  m_context->fair_shares->SetDemand(m_context->team_demand->Total(m_root, now));
+  if (m_context->settings->learns_capacity)
+    m_context->paces->SetFleet(m_context->paces->Total(m_root, now), now);
   ObservationDigest outliers = m_fleet.Outliers(m_root, now);
   if (outliers.size() != m_outliers.size())
     m_context->log->Info("outliers_changed", {{"from", m_outliers.size()},
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -216,6 +216,7 @@
   kServer,
   kInstance,
   kQuarantine,
+  kEvacuation,
   kOther
 };
 
@@ -227,6 +228,8 @@
   std::function<KeyKind(std::string_view key)> classify_key;
   // Returns the server id in the key of a server entry.
   std::function<ServerId(std::string_view key)> parse_server_id;
+  // Returns the data centre in the key of an evacuation.
+  std::function<DataCentreId(std::string_view key)> parse_evacuation;
   // Throw an exception derived from std::exception if the value is invalid.
   std::function<RoutingConfig(std::string_view value)> decode_routing;
   std::function<ServerEntry(const ServerId& id, std::string_view value)>
--- a/src/gateway/service.cc
+++ b/src/gateway/service.cc
@@ -105,10 +105,12 @@
   }
 }
 
-bool Service::Admit(uint32_t priority, double draw) {
+bool Service::Admit(uint32_t priority,
+                    double draw,
+                    const AdmissionRate::TeamShare& team_share) {
   const bool was_limited = m_admission.limited();
   const bool admitted =
-      m_admission.Admit(priority, draw, m_context->loop->Now());
+      m_admission.Admit(priority, draw, m_context->loop->Now(), team_share);
   LogLimitChange(was_limited);
   return admitted;
 }
@@ -195,7 +197,8 @@
 }
 
 bool Service::HasCapacity(const BackendServer& server) const {
-  if (!server.MaySend(m_context->loop->Now()) || !server.HasConnection() ||
+  if (m_context->evacuations->Contains(server.entry().data_centre) ||
+      !server.MaySend(m_context->loop->Now()) || !server.HasConnection() ||
       server.outstanding() >= server.entry().slots + kServerQueueDepth)
     return false;
   if (!m_admission.limited())
@@ -234,7 +237,7 @@
 
 double Service::CostOf(const BackendServer& server, TimePoint now) const {
   ReplicaView view;
-  view.relative_latency = server.health().relative_latency();
+  view.relative_latency = server.Pace(now);
   view.failure_share = server.health().FailureShare(now);
   view.outstanding = server.outstanding();
   view.slots = server.entry().slots;
@@ -254,8 +257,8 @@
                              bool hedge) const {
   const TimePoint now = m_context->loop->Now();
   const bool has_ready = HasReadyServer(now);
-  BackendServer* best = nullptr;
-  double best_cost = 0;
+  std::vector<Candidate>& candidates = m_candidates;
+  candidates.clear();
   for (const auto& server : m_servers) {
     if (Contains(excluded, server.get()) || !HasCapacity(*server) ||
         !server->IsUsable(now, has_ready) || (hedge && server->IsLimited()))
@@ -265,22 +268,52 @@
     // when they are back.
     if (server->health().down() || IsHeldBackAfterPause(*server, now))
       cost += kDownCost;
-    if (best == nullptr || cost < best_cost) {
-      best = server.get();
-      best_cost = cost;
-    }
+    candidates.push_back({.server = server.get(), .cost = cost});
   }
-  return best;
+  if (candidates.empty())
+    return nullptr;
+  const Candidate& best = *std::min_element(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
+  return m_context->settings->learns_capacity
+             ? PickInProportion(candidates, best)
+             : best.server;
+}
+
+// With estimates that all instances share, they would all choose the server
+// that looks best. Servers of its data centre that are nearly as good get their
+// part.
+BackendServer* Service::PickInProportion(std::span<const Candidate> candidates,
+                                         const Candidate& best) const {
+  const auto weight_of = [&best](const Candidate& candidate) {
+    const bool comparable = candidate.server->entry().data_centre ==
+                                best.server->entry().data_centre &&
+                            candidate.cost <= best.cost * kPaceChoiceFactor;
+    return comparable ? 1 / std::max(candidate.cost * candidate.cost, 1e-6)
+                      : 0.0;
+  };
+  double total = 0;
+  for (const Candidate& candidate : candidates)
+    total += weight_of(candidate);
+  double draw = m_context->Uniform() * total;
+  for (const Candidate& candidate : candidates) {
+    draw -= weight_of(candidate);
+    if (draw < 0)
+      return candidate.server;
+  }
+  return best.server;
 }
 
 bool Service::MayHaveCapacityLater(
     std::span<BackendServer* const> excluded) const {
   const TimePoint now = m_context->loop->Now();
-  return std::any_of(m_servers.begin(), m_servers.end(),
-                     [excluded, now](const auto& server) {
-                       return server->IsSound(now) && server->MaySend(now) &&
-                              !Contains(excluded, server.get());
-                     });
+  return std::any_of(
+      m_servers.begin(), m_servers.end(),
+      [this, excluded, now](const auto& server) {
+        return server->IsSound(now) && server->MaySend(now) &&
+               !m_context->evacuations->Contains(server->entry().data_centre) &&
+               !Contains(excluded, server.get());
+      });
 }
 
 }  // namespace wasabihook::gateway
--- a/src/gateway/service.h
+++ b/src/gateway/service.h
@@ -37,7 +37,9 @@
   ServiceRetryBudget& budget() { return m_budget; }
   const ServiceRetryBudget& budget() const { return m_budget; }
   // Decides on a request of `priority`; see AdmissionRate::Admit().
-  bool Admit(uint32_t priority, double draw);
+  bool Admit(uint32_t priority,
+             double draw,
+             const AdmissionRate::TeamShare& team_share);
   // Reports that no server had capacity for an admitted request.
   void OnRejected();
   bool limited() const { return m_admission.limited(); }
@@ -95,9 +97,18 @@
   bool HasReadyServer(TimePoint now) const;
   // After a pause the load returns in steps, as long as there are others.
   bool IsHeldBackAfterPause(const BackendServer& server, TimePoint now) const;
+  struct Candidate {
+    BackendServer* server = nullptr;
+    double cost = 0;
+  };
+
   double CostOf(const BackendServer& server, TimePoint now) const;
+  BackendServer* PickInProportion(std::span<const Candidate> candidates,
+                                  const Candidate& best) const;
 
   GatewayContext* const m_context;
+  // Kept to save an allocation for each sub-request.
+  mutable std::vector<Candidate> m_candidates;
   const ServiceName m_name;
   std::vector<std::shared_ptr<BackendServer>> m_servers;
   // Servers that this instance prefers; empty if it uses all alike. Servers
--- a/tests/gateway/http_message_test.cc
+++ b/tests/gateway/http_message_test.cc
@@ -177,9 +177,9 @@
 }
 
 TEST(HopByHop, CoversFieldsThatConnectionNames) {
-  EXPECT_TRUE(IsHopByHop("keep-alive", ""));
-  EXPECT_TRUE(IsHopByHop("X-Trace", "close, x-trace"));
-  EXPECT_FALSE(IsHopByHop("X-Trace", "close"));
+  EXPECT_TRUE(HopByHopFields("").Contains("keep-alive"));
+  EXPECT_TRUE(HopByHopFields("close, x-trace").Contains("X-Trace"));
+  EXPECT_FALSE(HopByHopFields("close").Contains("X-Trace"));
 }
 
 }  // namespace
--- a/tests/gateway/team_directory_test.cc
+++ b/tests/gateway/team_directory_test.cc
@@ -215,6 +215,21 @@
   EXPECT_LE(admitted, 6);
 }
 
+// Guards against requests that reach the servers of an evacuated data centre.
+TEST_F(TeamsTest, EvacuatedServersGetNothingUntilItIsTakenBack) {
+  PutTeam(5, {"k1"});
+  Start();
+  ASSERT_EQ(StatusWith("\r\nX-Key: k1"), kOk);
+  // All servers of the fixture are in data centre "a".
+  m_store.Put("op/evacuate/a", "{}");
+  ASSERT_TRUE(StatusBecomes("\r\nX-Key: k1", 503));
+  const size_t before = WriteCount();
+  EXPECT_EQ(StatusWith("\r\nX-Key: k1"), 503);
+  EXPECT_EQ(WriteCount(), before);
+  m_store.Remove("op/evacuate/a");
+  EXPECT_TRUE(StatusBecomes("\r\nX-Key: k1", kOk));
+}
+
 // Guards against a body that is read in for a caller without a key.
 TEST_F(TeamsTest, UnknownKeysAreRejectedBeforeTheBody) {
   PutTeam(5, {"k1"});
