Take only three digits for a status

Cause: the parser library takes any number of digits, so a server's reply with the status "00200" reached callers as 200. "000", "099" and "600" were refused before. Change: MessageParser checks that exactly three digits stand in the status line.

--- a/src/gateway/http_message.cc
+++ b/src/gateway/http_message.cc
@@ -23,6 +23,9 @@
 
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kLastStatus = 599;
+// Length of "HTTP/1.1 200" and of the byte behind it, which ends the status
+// (RFC 9112, 4: three digits).
+constexpr size_t kStatusLineStart = 13;
 constexpr uint64_t kNoContentLength = std::numeric_limits<uint64_t>::max();
 constexpr std::string_view kTransferEncoding = "Transfer-Encoding";
 constexpr std::string_view kChunked = "chunked";
@@ -159,6 +162,7 @@
   m_keep_alive = false;
   m_until_close = false;
   m_target.clear();
+  m_status_line_start.clear();
   m_head_bytes = 0;
   Clear();
 }
@@ -293,8 +297,13 @@
 }
 
 MessageFault MessageParser::CheckFraming() const {
-  if (m_type == Type::kResponse && (m_parser.status_code < kFirstStatus ||
-                                    m_parser.status_code > kLastStatus))
+  // The library takes any number of digits for a status.
+  if (m_type == Type::kResponse &&
+      (m_parser.status_code < kFirstStatus ||
+       m_parser.status_code > kLastStatus ||
+       m_status_line_start.size() < kStatusLineStart ||
+       std::isdigit(static_cast<unsigned char>(m_status_line_start.back())) !=
+           0))
     return MessageFault::kStatus;
   // The library decodes the chunks of "gzip, chunked" and leaves the rest.
   const size_t codings = m_headers.Count(kTransferEncoding);
@@ -332,6 +341,10 @@
     return 0;
   }
   m_started = true;
+  if (m_type == Type::kResponse &&
+      m_status_line_start.size() < kStatusLineStart)
+    m_status_line_start.append(
+        data.substr(0, kStatusLineStart - m_status_line_start.size()));
   m_unchecked = data.data();
   const size_t used =
       http_parser_execute(&m_parser, &Settings(), data.data(), data.size());
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -150,6 +150,8 @@
   http_parser m_parser{};
   ParseState m_state = ParseState::kHead;
   MessageFault m_fault = MessageFault::kNone;
+  // "HTTP/1.1 200" and the byte behind it, of a response.
+  std::string m_status_line_start;
   LineSyntax m_lines;
   // First byte of the present Feed() that m_lines has not checked.
   const char* m_unchecked = nullptr;
--- a/tests/gateway/malformed_reply_test.cc
+++ b/tests/gateway/malformed_reply_test.cc
@@ -54,6 +54,74 @@
   EXPECT_EQ(server.requests(), 0U);
 }
 
+// Status lines of servers in trouble that are no status of a response.
+class OddStatusTest : public MalformedReplyTest,
+                      public ::testing::WithParamInterface<const char*> {
+ protected:
+  static std::string Reply(const std::string& status, const std::string& id) {
+    return "HTTP/1.1 " + status + "\r\nX-Request-Id: " + id +
+           "\r\nX-Server-Stamp: w1." + id + "\r\nContent-Length: 4\r\n\r\nbody";
+  }
+};
+
+INSTANTIATE_TEST_SUITE_P(Statuses,
+                         OddStatusTest,
+                         ::testing::Values("000",
+                                           "000 OK",
+                                           "001 Odd",
+                                           "099 Odd",
+                                           "600 Odd",
+                                           "999 Odd",
+                                           "0 Odd",
+                                           "00200 OK",
+                                           "-200 OK"));
+
+// Guards against a status such as 000 that reaches a caller as an answer: on a
+// new connection, and after a valid reply on a reused one.
+TEST_P(OddStatusTest, IsNoAnswerToACaller) {
+  bool odd = true;
+  UseScriptedWriter(
+      [&odd](ScriptedConnection& connection, const std::string& id) {
+        connection.Write(odd ? Reply(GetParam(), id)
+                             : SuccessReply("w1", id, "body"));
+      });
+  Start();
+  EXPECT_EQ(SendRequest("POST /write/a", "p").status, 502);
+  odd = false;
+  ASSERT_TRUE(SucceedsEventually("POST /write/a"));
+  odd = true;
+  EXPECT_EQ(SendRequest("POST /write/a", "p").status, 502);
+}
+
+// Guards against such a reply that counts as the part of a shard.
+TEST_P(OddStatusTest, IsNoPartOfAQuery) {
+  ScriptedServer shard(
+      &m_loop, [](ScriptedConnection& connection, const std::string& id) {
+        connection.Write(Reply(GetParam(), id));
+      });
+  json entry = json::parse(Server("s0x").Entry(Service(0)));
+  entry["address"] = shard.address();
+  m_store.Put("servers/s0x", entry.dump());
+  m_store.Remove("servers/s0y");
+  Start();
+  const auto reply = SendRequest("GET /search/a");
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(reply.headers.at("x-missing-parts"), "1");
+}
+
+// Guards against interim replies without end, each of which is valid.
+TEST_F(MalformedReplyTest, InterimRepliesWithoutEndAreNoAnswer) {
+  UseScriptedWriter(
+      [](ScriptedConnection& connection, const std::string& /*id*/) {
+        std::string bytes;
+        while (bytes.size() < 2 * kMaxSkippedReplyBytes)
+          bytes += "HTTP/1.1 102 Processing\r\n\r\n";
+        connection.Write(bytes);
+      });
+  Start();
+  EXPECT_EQ(SendRequest("POST /write/a", "p").status, 502);
+}
+
 // Answers long requests before their body is read, without a length.
 class EarlyReplyTest : public MalformedReplyTest {
  protected:
