Leave room for others when a crowd's requests are served, and describe the parts

Change: beyond three quarters of the connections, requests of a source that has half of those served get 503. NeverGivesUpWhatIsServed uses several addresses now, since one would be rejected earlier; TheBusiestSourceLeavesRoomForOthers guards the new rule. Gauges show teams, ledgers, caller bytes, paces and evacuations; states of teams that are gone and clients of instances that are gone are dropped.

--- a/src/gateway/allowance/allowance_exchange.cc
+++ b/src/gateway/allowance/allowance_exchange.cc
@@ -32,10 +32,23 @@
 
 void AllowanceExchange::SetInstances(std::vector<AllowanceOwner> instances,
                                      uint32_t count) {
+  std::erase_if(m_peers, [&instances](const auto& entry) {
+    const bool listed = std::any_of(instances.begin(), instances.end(),
+                                    [&entry](const AllowanceOwner& owner) {
+                                      return owner.address == entry.first;
+                                    });
+    const StoreClient* client = entry.second.client.get();
+    return !listed && (client == nullptr || !client->busy());
+  });
   m_owners.SetInstances(std::move(instances));
   m_gate.SetInstances(count);
 }
 
+void AllowanceExchange::Sweep() {
+  m_ledger.Sweep(m_context->loop->Now());
+  m_gate.Sweep();
+}
+
 AllowanceExchange::Pending& AllowanceExchange::PendingOf(
     const TeamPtr& team,
     ConfigVersion version) {
--- a/src/gateway/allowance/allowance_exchange.h
+++ b/src/gateway/allowance/allowance_exchange.h
@@ -67,7 +67,7 @@
   // Handles the call of another instance; returns the body of the reply. Throws
   // an exception derived from std::exception if the call is malformed.
   std::string OnCall(std::string_view target, std::string_view body);
-  void Sweep() { m_ledger.Sweep(m_context->loop->Now()); }
+  void Sweep();
   size_t ledgers() const { return m_ledger.teams(); }
 
  private:
--- a/src/gateway/allowance/allowance_gate.cc
+++ b/src/gateway/allowance/allowance_gate.cc
@@ -96,6 +96,15 @@
   state.returned += claim.returned;
 }
 
+void AllowanceGate::Sweep() {
+  if (m_states.size() <= kMaxTeams)
+    return;
+  std::erase_if(m_states, [](const auto& entry) {
+    const State& state = entry.second;
+    return state.used + state.returned + state.unconfirmed == 0;
+  });
+}
+
 Duration AllowanceGate::RetryAfter(const Team& team) const {
   Duration wait{0};
   Duration spread{0};
--- a/src/gateway/allowance/allowance_gate.h
+++ b/src/gateway/allowance/allowance_gate.h
@@ -61,6 +61,9 @@
   // The owner may not have received the claim; the next one gets it.
   void OnClaimLost(const AllowanceClaim& claim);
 
+  // Forgets teams with nothing to report if there are very many. Called
+  // periodically.
+  void Sweep();
   // Retry-After of a request that is rejected now.
   Duration RetryAfter(const Team& team) const;
   bool asks_first(TeamKey team) const;
--- a/src/gateway/callers/caller_budget.cc
+++ b/src/gateway/callers/caller_budget.cc
@@ -76,17 +76,29 @@
   const auto found = m_members.find(member);
   if (found == m_members.end())
     return true;
-  if (m_served + bytes > m_bounds.served_bytes)
+  SourceUse& source = m_sources[member->source()];
+  const bool crowded =
+      static_cast<double>(m_serving) >=
+      kServedConnectionShare * static_cast<double>(m_bounds.connections);
+  if (m_served + bytes > m_bounds.served_bytes ||
+      (crowded && 2 * source.serving >= m_serving))
     return false;
-  found->second.served = bytes;
+  Held& held = found->second;
+  held.served = bytes;
+  held.serving = true;
   m_served += bytes;
+  ++m_serving;
+  ++source.serving;
   return true;
 }
 
 void CallerBudget::EndService(CallerMember* member) {
   const auto found = m_members.find(member);
-  if (found == m_members.end() || found->second.served == 0)
+  if (found == m_members.end() || !found->second.serving)
     return;
+  found->second.serving = false;
+  --m_serving;
+  --m_sources[member->source()].serving;
   m_served -= found->second.served;
   const size_t left =
       found->second.bytes - std::min(found->second.bytes, found->second.served);
--- a/src/gateway/callers/caller_budget.h
+++ b/src/gateway/callers/caller_budget.h
@@ -44,7 +44,9 @@
 // What all callers hold together. Beyond a bound, a member of the source that
 // holds most is given up: the one that holds most bytes, or that has waited
 // longest. A crowd from a few addresses thus shuts out itself. Requests that
-// are being served are never given up; further ones are rejected instead.
+// are being served are never given up; further ones are rejected instead, those
+// of the busiest source first, so that some connections can be given up for
+// others.
 class CallerBudget {
  public:
   explicit CallerBudget(const CallerBounds& bounds) : m_bounds(bounds) {}
@@ -72,10 +74,12 @@
   struct Held {
     size_t bytes = 0;
     size_t served = 0;
+    bool serving = false;
   };
   struct SourceUse {
     size_t bytes = 0;
     size_t connections = 0;
+    size_t serving = 0;
   };
 
   void Count(CallerMember* member, size_t before, size_t now);
@@ -88,6 +92,8 @@
   std::unordered_map<SourceAddress, SourceUse> m_sources;
   size_t m_bytes = 0;
   size_t m_served = 0;
+  // Members whose requests are being served.
+  size_t m_serving = 0;
   uint64_t m_given_up = 0;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -666,6 +666,11 @@
   m_metrics.SetServers(m_directory.usable(), m_directory.known());
   for (const auto& [availability, count] : m_directory.CountByAvailability())
     m_metrics.SetServersOfState(ToString(availability), count);
+  m_metrics.SetCallerUse(m_caller_budget.bytes(), m_caller_budget.given_up());
+  m_metrics.SetTeams(m_routes != nullptr ? m_routes->teams().teams() : 0,
+                     m_fair_shares.teams(), m_allowances.ledgers());
+  m_metrics.SetPaces(m_paces.known());
+  m_metrics.SetEvacuations(m_evacuations.size());
   m_metrics.SetReady(ready());
   m_metrics.SetLimitedServers(m_limits.limited());
   m_metrics.SetQuarantine(m_quarantine.quarantined(), m_quarantine.suspects());
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -183,6 +183,30 @@
   m_state.Add({{"kind", "feed_history_bytes"}}).Set(static_cast<double>(bytes));
 }
 
+void GatewayMetrics::SetCallerUse(size_t bytes, uint64_t given_up) {
+  m_state.Add({{"kind", "caller_bytes"}}).Set(static_cast<double>(bytes));
+  m_state.Add({{"kind", "callers_given_up"}})
+      .Set(static_cast<double>(given_up));
+}
+
+void GatewayMetrics::SetTeams(size_t configured,
+                              size_t asking,
+                              size_t ledgers) {
+  m_state.Add({{"kind", "teams"}}).Set(static_cast<double>(configured));
+  m_state.Add({{"kind", "teams_asking"}}).Set(static_cast<double>(asking));
+  m_state.Add({{"kind", "allowance_ledgers"}})
+      .Set(static_cast<double>(ledgers));
+}
+
+void GatewayMetrics::SetPaces(size_t servers) {
+  m_state.Add({{"kind", "paces_known"}}).Set(static_cast<double>(servers));
+}
+
+void GatewayMetrics::SetEvacuations(size_t data_centres) {
+  m_state.Add({{"kind", "data_centres_evacuated"}})
+      .Set(static_cast<double>(data_centres));
+}
+
 void GatewayMetrics::SetConfigVersion(uint64_t version) {
   m_state.Add({{"kind", "config_version"}}).Set(static_cast<double>(version));
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -53,6 +53,13 @@
   void SetConfigVersion(uint64_t version);
   void SetServers(size_t usable, size_t known);
   void SetServersOfState(const std::string& state, size_t count);
+  // What callers hold together, and the members given up for it so far.
+  void SetCallerUse(size_t bytes, uint64_t given_up);
+  // Teams of the configuration, teams with demand, and ledgers kept here.
+  void SetTeams(size_t configured, size_t asking, size_t ledgers);
+  // Servers whose pace the fleet has told, and evacuated data centres.
+  void SetPaces(size_t servers);
+  void SetEvacuations(size_t data_centres);
   void SetReady(bool ready);
   void SetCallerConnections(size_t count);
   void SetLogLinesDropped(uint64_t count);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -377,6 +377,9 @@
 // least the minimum.
 inline constexpr size_t kReservedDescriptors = 200;
 inline constexpr size_t kMinCallerConnections = 16;
+// Share of the connections whose requests are served at the same time, before
+// those of a source that has half of them are rejected.
+inline constexpr double kServedConnectionShare = 0.75;
 // Memory and descriptors of a process whose settings don't state them.
 inline constexpr size_t kDefaultMemoryMb = 160;
 inline constexpr size_t kDefaultMaxDescriptors = 4096;
--- a/src/gateway/request_times.h
+++ b/src/gateway/request_times.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 
+#include "gateway/gateway_settings.h"
 #include "wasabihook/units.h"
 
 namespace wasabihook::gateway {
@@ -20,9 +21,9 @@
   Duration max_caller_timeout{0};
   bool first_on_connection = false;
   // Time before the objective at which the answer must be sent.
-  Duration answer_margin{0};
+  Duration answer_margin = kAnswerMargin;
   // Round trip to the caller; empty if unknown.
-  std::optional<Duration> round_trip;
+  std::optional<Duration> round_trip{};
 };
 
 struct RequestTimes {
--- a/tests/gateway/caller_budget_test.cc
+++ b/tests/gateway/caller_budget_test.cc
@@ -98,7 +98,8 @@
 // Guards against a request that is cut off while a server runs it.
 TEST_F(CallerBudgetTest, NeverGivesUpWhatIsServed) {
   for (int i = 0; i < 4; ++i) {
-    FakeMember& member = Open(kCrowd, i);
+    // Each from an address of its own.
+    FakeMember& member = Open(kCrowd + static_cast<uint32_t>(i), i);
     EXPECT_TRUE(m_budget.BeginService(&member, 100));
     member.Serve();
   }
@@ -108,6 +109,22 @@
     EXPECT_FALSE(member->given_up);
 }
 
+// Pattern: a crowd whose whole requests wait for a server, on all connections.
+// Guards against an ordinary caller that finds none.
+TEST_F(CallerBudgetTest, TheBusiestSourceLeavesRoomForOthers) {
+  for (int i = 0; i < 3; ++i) {
+    FakeMember& member = Open(kCrowd, i);
+    ASSERT_TRUE(m_budget.BeginService(&member, 10));
+    member.Serve();
+  }
+  FakeMember& last = Open(kCrowd, 3);
+  EXPECT_FALSE(m_budget.BeginService(&last, 10));
+  FakeMember& ordinary = Open(kOrdinary, 4);
+  EXPECT_TRUE(m_admitted);
+  EXPECT_TRUE(last.given_up);
+  EXPECT_TRUE(m_budget.BeginService(&ordinary, 10));
+}
+
 // Guards against served requests that take the memory in which others are read.
 TEST_F(CallerBudgetTest, RejectsWhatIsBeyondTheServedShare) {
   FakeMember& first = Open(kCrowd);
