--- a/tests/gateway/client_crowd.h
+++ b/tests/gateway/client_crowd.h
@@ -94,9 +94,14 @@
     const int buffer = 16 * 1024;
     setsockopt(client.fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof(buffer));
     setsockopt(client.fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
-    bind(client.fd, reinterpret_cast<const sockaddr*>(&m_source),
-         sizeof(m_source));
     fcntl(client.fd, F_SETFL, O_NONBLOCK);
+    const bool bound =
+        bind(client.fd, reinterpret_cast<const sockaddr*>(&m_source),
+             sizeof(m_source)) == 0;
+    if (!bound) {
+      close(std::exchange(client.fd, -1));
+      return false;
+    }
     if (connect(client.fd, reinterpret_cast<const sockaddr*>(&m_server),
                 sizeof(m_server)) == 0 ||
         errno == EINPROGRESS)
