--- a/tests/gateway/misbehaving_clients_test.cc
+++ b/tests/gateway/misbehaving_clients_test.cc
@@ -2,7 +2,8 @@
 // memory and the descriptors of a small machine. Each test guards against a
 // process that ends, or grows beyond its machine, or serves nobody else.
 //
-// GATEWAY_PROGRAM in the environment names another program to test.
+// In the environment, GATEWAY_PROGRAM names another program to test, such as an
+// earlier build, and GATEWAY_LOG a file for its log.
 
 #include <gtest/gtest.h>
 #include <signal.h>
