--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,7 +4,7 @@
 [ -x target/wasabihook-gateway ] && [ -x target/review-2/quota ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review-2/quota "$folder" review/7/record.txt
+target/review-2/quota "$folder" review/7/record.txt kill
 status=$?
 [ "$status" -le 1 ] && exit "$status"
 exit 2
--- a/review/standin-2/quota.cc
+++ b/review/standin-2/quota.cc
@@ -1,5 +1,6 @@
-// Each of three instances stands still once for some seconds, while a team
-// sends several times its allowance.
+// Each of three instances is killed once and starts again some seconds later,
+// or stands still for some seconds, while a team sends several times its
+// allowance.
 //
 // Breaks QUOTA if in some window more requests of the team are both sent and
 // arrive at a server that runs them than the allowance and its tolerance.
@@ -15,8 +16,9 @@
 constexpr double kWindow = 5;
 constexpr double kOverage = 0.1;
 constexpr double kSlack = 20;
+constexpr double kDown = 3.5;
 constexpr double kFreeze = 4.0;
-constexpr double kBetweenFreezes = 16.0;
+constexpr double kBetween = 16.0;
 constexpr int kDeadlineMs = 2500;
 constexpr int kCallersPerInstance = 40;
 constexpr const char* kHost = "h.example";
@@ -54,8 +56,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  if (argc < 3)
+  if (argc < 4)
     return kCouldNotRun;
+  const bool kills = std::string(argv[3]) == "kill";
   signal(SIGPIPE, SIG_IGN);
   const std::string folder = argv[1];
   Record record(argv[2]);
@@ -127,13 +130,21 @@
   Sleep(6);
   for (const auto& gateway : gateways) {
     if (HasTrouble()) {
-      record.Line(gateway->id(), "stands still");
-      gateway->Signal(SIGSTOP);
+      record.Line(gateway->id(), kills ? "is killed" : "stands still");
+      if (kills)
+        gateway->Kill();
+      else
+        gateway->Signal(SIGSTOP);
     }
-    Sleep(kFreeze);
-    gateway->Signal(SIGCONT);
-    record.Line(gateway->id(), "goes on");
-    Sleep(kBetweenFreezes);
+    Sleep(kills ? kDown : kFreeze);
+    if (HasTrouble()) {
+      if (kills)
+        gateway->Start();
+      else
+        gateway->Signal(SIGCONT);
+      record.Line(gateway->id(), kills ? "starts again" : "goes on");
+    }
+    Sleep(kBetween);
   }
   stop = true;
   Sleep(3);
