--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.hpp
@@ -121,7 +121,8 @@
   const size_t colon = text.rfind(':');
   if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &out.sin_addr) != 1)
     return std::nullopt;
-  out.sin_port = htons(static_cast<uint16_t>(std::stoi(text.substr(colon + 1))));
+  out.sin_port =
+      htons(static_cast<uint16_t>(std::stoi(text.substr(colon + 1))));
   return out;
 }
 
@@ -168,7 +169,9 @@
     setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
     Close();
   }
-  bool Write(std::string_view data) { return m_fd >= 0 && WriteAll(m_fd, data); }
+  bool Write(std::string_view data) {
+    return m_fd >= 0 && WriteAll(m_fd, data);
+  }
 
   ReadResult Read(Message& out, bool response, double until) {
     while (true) {
@@ -335,10 +338,9 @@
   }
   size_t CountKeys(const std::string& prefix) {
     const std::lock_guard lock(m_mutex);
-    return static_cast<size_t>(
-        std::count_if(m_items.begin(), m_items.end(), [&](const auto& item) {
-          return item.first.starts_with(prefix);
-        }));
+    return static_cast<size_t>(std::count_if(
+        m_items.begin(), m_items.end(),
+        [&](const auto& item) { return item.first.starts_with(prefix); }));
   }
   // Every call is answered 503 from now on, or as usual.
   void SetDown(bool down) {
@@ -370,9 +372,9 @@
     if (m_items.erase(key) == 0)
       return;
     ++m_revision;
-    m_events.push_back({m_revision, json{{"key", key},
-                                         {"revision", m_revision},
-                                         {"removed", true}}});
+    m_events.push_back(
+        {m_revision,
+         json{{"key", key}, {"revision", m_revision}, {"removed", true}}});
   }
   static json ToJson(const std::string& key, const Item& item) {
     return {{"key", key},
@@ -386,13 +388,14 @@
     size_t at = target.find('?');
     while (at != std::string::npos && at < target.size()) {
       const size_t end = target.find('&', at + 1);
-      const std::string pair = target.substr(
-          at + 1, end == std::string::npos ? end : end - at - 1);
+      const std::string pair =
+          target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
       if (pair.starts_with(name + "=")) {
         std::string out;
         for (size_t i = name.size() + 1; i < pair.size(); ++i) {
           if (pair[i] == '%') {
-            out += static_cast<char>(std::stoi(pair.substr(i + 1, 2), nullptr, 16));
+            out += static_cast<char>(
+                std::stoi(pair.substr(i + 1, 2), nullptr, 16));
             i += 2;
           } else {
             out += pair[i];
@@ -648,9 +651,9 @@
 
 struct Bounds {
   std::map<std::string, std::string> values = {
-      {"retry_ratio", "0.2"},       {"retry_slack", "56"},
-      {"retry_window_s", "10"},     {"drain_ms", "3000"},
-      {"config_apply_ms", "3000"},  {"grace_s", "6"},
+      {"retry_ratio", "0.2"},      {"retry_slack", "56"},
+      {"retry_window_s", "10"},    {"drain_ms", "3000"},
+      {"config_apply_ms", "3000"}, {"grace_s", "6"},
   };
 };
 
@@ -662,7 +665,8 @@
           const std::string& ip,
           const std::string& store,
           const Bounds& bounds = {})
-      : m_id(id), m_config(folder + "/" + id + ".toml"),
+      : m_id(id),
+        m_config(folder + "/" + id + ".toml"),
         m_log(folder + "/" + id + ".log") {
     m_caller = FreeAddress(ip);
     m_readiness = FreeAddress(ip);
--- a/review/standin-2/quota.cc
+++ b/review/standin-2/quota.cpp
@@ -5,7 +5,7 @@
 // Breaks QUOTA if in some window more requests of the team are both sent and
 // arrive at a server that runs them than the allowance and its tolerance.
 
-#include "kit.h"
+#include "kit.hpp"
 
 using namespace kit;
 
@@ -24,27 +24,25 @@
 constexpr const char* kHost = "h.example";
 
 std::string Configuration() {
-  const json route = {{"name", "fetch"},          {"host", kHost},
-                      {"path_prefix", "/fetch/"}, {"type", "idempotent"},
-                      {"timeout_ms", 2500},       {"slo_ms", 250},
-                      {"priority", 2},            {"max_attempts", 2},
-                      {"backend", "parcels"}};
-  return json{{"version", 1},
-              {"routes", {route}},
-              {"backends",
-               {{{"name", "parcels"},
-                 {"health_path", "/health"},
-                 {"max_conns", 60}}}},
-              {"tenants",
-               {{{"name", "hot"},
-                 {"api_keys", {"key-hot"}},
-                 {"rate_per_s", kRate},
-                 {"burst", kBurst}}}},
-              {"limits",
-               {{"max_header_bytes", 16384},
-                {"max_body_bytes", 262144},
-                {"header_timeout_ms", 3000},
-                {"idle_timeout_ms", 15000}}}}
+  const json route = {
+      {"name", "fetch"},      {"host", kHost},      {"path_prefix", "/fetch/"},
+      {"type", "idempotent"}, {"timeout_ms", 2500}, {"slo_ms", 250},
+      {"priority", 2},        {"max_attempts", 2},  {"backend", "parcels"}};
+  return json{
+      {"version", 1},
+      {"routes", {route}},
+      {"backends",
+       {{{"name", "parcels"}, {"health_path", "/health"}, {"max_conns", 60}}}},
+      {"tenants",
+       {{{"name", "hot"},
+         {"api_keys", {"key-hot"}},
+         {"rate_per_s", kRate},
+         {"burst", kBurst}}}},
+      {"limits",
+       {{"max_header_bytes", 16384},
+        {"max_body_bytes", 262144},
+        {"header_timeout_ms", 3000},
+        {"idle_timeout_ms", 15000}}}}
       .dump();
 }
 
@@ -76,10 +74,9 @@
     bounds.values["allowance_window_s"] = "5";
     bounds.values["allowance_overage"] = "0.1";
     bounds.values["allowance_slack"] = "20";
-    gateways.push_back(std::make_unique<Gateway>(folder,
-                                                 std::string("front-") + zone,
-                                                 zone, "127.0.0.1",
-                                                 store.address(), bounds));
+    gateways.push_back(
+        std::make_unique<Gateway>(folder, std::string("front-") + zone, zone,
+                                  "127.0.0.1", store.address(), bounds));
   }
   for (const auto& gateway : gateways)
     gateway->Start();
--- a/review/standin-2/split.cc
+++ b/review/standin-2/split.cpp
@@ -5,7 +5,7 @@
 // connection ends without an answer beside a configuration, over three times as
 // often as at other times.
 
-#include "kit.h"
+#include "kit.hpp"
 
 using namespace kit;
 
@@ -22,10 +22,9 @@
 constexpr const char* kHost = "h.example";
 
 json Route(const std::string& name, const std::string& prefix) {
-  return {{"name", name},        {"host", kHost},
-          {"path_prefix", prefix}, {"type", "idempotent"},
-          {"timeout_ms", 2500},  {"slo_ms", 250},
-          {"priority", 2},       {"max_attempts", 2}};
+  return {{"name", name},         {"host", kHost},      {"path_prefix", prefix},
+          {"type", "idempotent"}, {"timeout_ms", 2500}, {"slo_ms", 250},
+          {"priority", 2},        {"max_attempts", 2}};
 }
 
 std::string Configuration(int version, bool split) {
@@ -99,10 +98,9 @@
     bounds.values["allowance_window_s"] = "5";
     bounds.values["allowance_overage"] = "0.1";
     bounds.values["allowance_slack"] = "20";
-    gateways.push_back(std::make_unique<Gateway>(folder,
-                                                 std::string("front-") + zone,
-                                                 zone, "127.0.0.1",
-                                                 store.address(), bounds));
+    gateways.push_back(
+        std::make_unique<Gateway>(folder, std::string("front-") + zone, zone,
+                                  "127.0.0.1", store.address(), bounds));
   }
   for (const auto& gateway : gateways)
     gateway->Start();
@@ -126,10 +124,10 @@
       const double sent = Now();
       Message answer;
       const bool answered =
-          connection.Write(Head(
-              (hot ? "GET /fetch/" : "GET /read/") + id, kHost, id, kDeadlineMs,
-              std::string("X-Key: ") + (hot ? "key-hot" : "key-calm") +
-                  "\r\n")) &&
+          connection.Write(Head((hot ? "GET /fetch/" : "GET /read/") + id,
+                                kHost, id, kDeadlineMs,
+                                std::string("X-Key: ") +
+                                    (hot ? "key-hot" : "key-calm") + "\r\n")) &&
           connection.Read(answer, true, sent + kDeadlineMs / 1000.0 + 1) ==
               ReadResult::kOk;
       if (stop)
@@ -198,8 +196,8 @@
       if (!run.contains(cut.id) ||
           cut.at - cut.sent >= 0.7 * kDeadlineMs / 1000.0)
         continue;
-      const bool near = std::any_of(
-          changes.begin(), changes.end(), [&cut](double change) {
+      const bool near =
+          std::any_of(changes.begin(), changes.end(), [&cut](double change) {
             return cut.at >= change && cut.sent <= change + kConfigApply + 1;
           });
       ++(near ? beside : others)[cut.instance];
@@ -209,13 +207,14 @@
   for (const auto& [instance, count] : beside) {
     const bool often = count / beside_s > 3 * others[instance] / other_s;
     broken = broken || often;
-    record.Line("LOST", instance, "passed on and cut beside a configuration:",
-                count, "at other times:", others[instance]);
+    record.Line("LOST", instance,
+                "passed on and cut beside a configuration:", count,
+                "at other times:", others[instance]);
   }
   std::ostringstream result;
   result << "versions " << version << ", requests " << next
-         << ", passed on: " << run.size() << ", without an answer: "
-         << cuts.size();
+         << ", passed on: " << run.size()
+         << ", without an answer: " << cuts.size();
   for (const auto& [instance, how] : ended)
     result << ", " << instance << " ended by itself (" << how << "), "
            << beside[instance] << " requests that it had passed on were cut";
