Give each version of a route its own choice of targets

Cause: the choice among a route's targets was shared by all its versions, and each new version replaced its weights. Exchange::Start() took the index of a target of the newest version in the services of the version that the held request came under.

Change: a Route has the WeightedChoice that was made for its own targets. The weights of a choice are fixed. Versions in a row with the same weights share one, so that the rotation goes on as before.

--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -26,7 +26,7 @@
 struct InboundRequest {
   std::string method;
   std::string target;  // Path and query, as received.
-  // Valid only during the call of the handler.
+  // Valid until the response, or until the caller disconnects.
   const HeaderList* headers = nullptr;
   std::string body;
   TimePoint received_at;
--- a/src/gateway/exchange_parts.cc
+++ b/src/gateway/exchange_parts.cc
@@ -50,8 +50,7 @@
       m_parts[i].service = m_route->services[i].get();
   } else {
     m_parts.resize(1);
-    m_parts[0].service =
-        m_route->services[m_route->stats->target_choice.Next()].get();
+    m_parts[0].service = NextTarget(*m_route);
   }
   AdmitParts();
 
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -27,6 +27,10 @@
   return static_cast<uint32_t>(std::max(1.0, std::ceil(parts - kRounding)));
 }
 
+Service* NextTarget(const Route& route) {
+  return route.services[route.target_choice->Next()].get();
+}
+
 RoutePtr RouteTable::Find(std::string_view host, std::string_view path) const {
   const auto found = m_hosts.find(NormalizeHost(host));
   if (found == m_hosts.end())
@@ -43,10 +47,8 @@
   auto route = std::make_shared<Route>();
   route->version = table.version();
   route->requires_keys = table.teams().requires_keys();
-  std::shared_ptr<RouteStats>& stats = m_stats[config.name];
-  if (stats == nullptr)
-    stats = std::make_shared<RouteStats>();
-  route->stats = stats;
+  Inherited& inherited = m_inherited[config.name];
+  route->stats = inherited.stats;
   for (const ServiceName& name : config.gather)
     route->services.push_back(m_directory->GetService(name));
   std::vector<double> weights;
@@ -54,8 +56,12 @@
     route->services.push_back(m_directory->GetService(target.service));
     weights.push_back(target.weight);
   }
-  if (!weights.empty())
-    stats->target_choice.SetWeights(weights);
+  if (!weights.empty()) {
+    std::shared_ptr<WeightedChoice>& choice = inherited.target_choice;
+    if (choice == nullptr || choice->weights() != weights)
+      choice = std::make_shared<WeightedChoice>(std::move(weights));
+    route->target_choice = choice;
+  }
   if (!config.gather.empty())
     route->required_parts =
         RequiredParts(config.min_shard_share, config.gather.size());
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -19,11 +19,9 @@
 
 namespace wasabihook::gateway {
 
-// Statistics and balancing state of a route, kept across configuration
-// versions.
+// Statistics of a route, kept across configuration versions.
 struct RouteStats {
   HedgeDelay hedge_delay;
-  WeightedChoice target_choice;
   // Longest remaining time that a caller stated; taken as the time budget of a
   // first attempt.
   Duration max_caller_timeout{0};
@@ -40,12 +38,19 @@
   // The configuration has teams, and callers state their keys.
   bool requires_keys = false;
   std::shared_ptr<RouteStats> stats;
+  // Chooses among the targets of this version. Versions in a row with the same
+  // weights share it, so that the rotation goes on; a request that was held
+  // keeps the choice of its own version. Null for a scatter.
+  std::shared_ptr<WeightedChoice> target_choice;
 
   bool scatters() const { return !config.gather.empty(); }
 };
 
 using RoutePtr = std::shared_ptr<const Route>;
 
+// The service of a route without a scatter that gets the next request.
+Service* NextTarget(const Route& route);
+
 // The routes of one configuration version. Immutable.
 class RouteTable {
  public:
@@ -82,7 +87,12 @@
   RoutePtr MakeRoute(RouteConfig config, const RouteTable& table);
 
   ServerDirectory* const m_directory;
-  std::map<RouteName, std::shared_ptr<RouteStats>> m_stats;
+  // What the newest version of a route passes on to the next one.
+  struct Inherited {
+    std::shared_ptr<RouteStats> stats = std::make_shared<RouteStats>();
+    std::shared_ptr<WeightedChoice> target_choice;
+  };
+  std::map<RouteName, Inherited> m_inherited;
 };
 
 // Smallest number of shards that is at least `share` of `total`; at least 1.
--- a/src/gateway/weighted_choice.h
+++ b/src/gateway/weighted_choice.h
@@ -4,21 +4,20 @@
 // PRIVATE HEADER.
 
 #include <cstddef>
+#include <utility>
 #include <vector>
 
 namespace wasabihook::gateway {
 
 // Smooth weighted round robin. In any run of choices, each index is chosen in
-// proportion to its weight, to within one choice.
+// proportion to its weight, to within one choice. The weights are fixed, so
+// that an index is always one of the list that the choice was made for.
 class WeightedChoice {
  public:
-  // Resets the rotation only if the weights differ from the current ones.
-  void SetWeights(const std::vector<double>& weights) {
-    if (weights == m_weights)
-      return;
-    m_weights = weights;
-    m_credit.assign(weights.size(), 0);
-  }
+  explicit WeightedChoice(std::vector<double> weights)
+      : m_weights(std::move(weights)), m_credit(m_weights.size(), 0) {}
+
+  const std::vector<double>& weights() const { return m_weights; }
 
   // Returns the index of the next choice; 0 if there are no weights.
   size_t Next() {
@@ -36,7 +35,7 @@
   }
 
  private:
-  std::vector<double> m_weights;
+  const std::vector<double> m_weights;
   std::vector<double> m_credit;
 };
 
--- a/tests/gateway/policy_test.cc
+++ b/tests/gateway/policy_test.cc
@@ -295,8 +295,7 @@
   const auto weights = *rc::gen::container<std::vector<double>>(
       3, rc::gen::map(rc::gen::inRange(1, 20),
                       [](int weight) { return static_cast<double>(weight); }));
-  WeightedChoice choice;
-  choice.SetWeights(weights);
+  WeightedChoice choice(weights);
   const double total = weights[0] + weights[1] + weights[2];
   std::vector<int> counts(3);
   for (int i = 1; i <= 300; ++i) {
