Divide allowances into portions that one instance each has

Cause: who owns a ledger followed from what each instance could reach. The one that returns is its own owner at once, the others pass it over for 1 to 8 s, and each ledger filled at the whole rate. No bound followed from the tolerance for owners that differ longer. The shares that instances kept without an owner had the same cause, and a claim whose reply was lost credited returned requests twice.

Change: an allowance is divided into eight portions (or one an instance) by rendezvous hashing over the registry, which does not depend on who can be reached. Only portions yield tokens; an owner that runs short fetches them from the others, and tokens are taken away before they are handed over. So any number of owners give out one allowance together. Requests that wait for an owner in vain share a tenth of the tolerance in place of the last shares; returned requests are not credited after a lost reply. A request that got nothing while tokens are on their way asks again within its hold.

Tests: the field share of a grant is gone, so KeepsClaimsAndGrants checks the fields in its place; calls of Decide() and Settle() lost an argument. No check is removed.

--- a/src/gateway/allowance/allowance_exchange.cc
+++ b/src/gateway/allowance/allowance_exchange.cc
@@ -14,12 +14,17 @@
 }  // namespace
 
 bool IsAllowanceCall(std::string_view target) {
-  return target.starts_with(kTarget);
+  return target.starts_with(kTarget) || IsAllowanceTransferCall(target);
 }
 
 AllowanceExchange::AllowanceExchange(GatewayContext* context)
     : m_context(context),
-      m_ledger(&context->settings->bounds),
+      m_ledger(&context->settings->bounds,
+               [this](TeamKey team) -> const AllowancePortions& {
+                 return m_owners.PortionsOf(team,
+                                            m_context->settings->instance);
+               }),
+      m_transfers(context, &m_ledger, &m_owners),
       m_gate(&context->settings->bounds,
              [context] { return context->Uniform(); }) {}
 
@@ -31,7 +36,8 @@
 }
 
 void AllowanceExchange::SetInstances(std::vector<AllowanceOwner> instances,
-                                     uint32_t count) {
+                                     uint32_t count,
+                                     bool knows_self) {
   std::erase_if(m_peers, [&instances](const auto& entry) {
     const bool listed = std::any_of(instances.begin(), instances.end(),
                                     [&entry](const AllowanceOwner& owner) {
@@ -41,12 +47,14 @@
     return !listed && (client == nullptr || !client->busy());
   });
   m_owners.SetInstances(std::move(instances));
+  m_owners.SetFleet(count, knows_self);
   m_gate.SetInstances(count);
 }
 
 void AllowanceExchange::Sweep() {
   m_ledger.Sweep(m_context->loop->Now());
   m_gate.Sweep();
+  m_transfers.Sweep();
 }
 
 AllowanceExchange::Pending& AllowanceExchange::PendingOf(
@@ -72,14 +80,8 @@
                                                       Done done) {
   if (!team->allowance.limited())
     return {.verdict = AllowanceVerdict{.admitted = true}};
-  const TimePoint now = m_context->loop->Now();
-  const AllowanceDecision decision =
-      m_gate.Decide(*team, m_owners.Select(team->key, now) != nullptr, now);
+  const AllowanceDecision decision = m_gate.Decide(*team);
   Pending& pending = PendingOf(team, version);
-  if (decision == AllowanceDecision::kReject) {
-    m_context->metrics->CountAllowance("no_owner");
-    return {.verdict = Verdict(*team, false)};
-  }
   if (decision == AllowanceDecision::kAdmit) {
     FlushSoon(kAllowanceReportDelay);
     return {.verdict = AllowanceVerdict{.admitted = true}};
@@ -145,9 +147,8 @@
   for (auto& [key, item] : pending) {
     const AllowanceOwner* owner = m_owners.Select(key, now);
     const bool is_self =
-        owner != nullptr && owner->id == m_context->settings->instance;
+        owner == nullptr || owner->id == m_context->settings->instance;
     const bool must_wait =
-        owner == nullptr ||
         (!is_self && (m_peers[owner->address].client != nullptr) &&
          m_peers[owner->address].client->busy()) ||
         (!is_self && calls[owner->address].size() >= kMaxClaimsInCall);
@@ -159,7 +160,7 @@
     if (!sent)
       continue;
     if (is_self)
-      Settle(*sent, SettleHere(sent->claim, owner->id));
+      Settle(*sent, SettleHere(sent->claim));
     else
       calls[owner->address].push_back(std::move(*sent));
   }
@@ -221,10 +222,12 @@
     FlushSoon(Duration(0));
 }
 
-AllowanceGrant AllowanceExchange::SettleHere(const AllowanceClaim& claim,
-                                             const InstanceId& claimant) {
+AllowanceGrant AllowanceExchange::SettleHere(const AllowanceClaim& claim) {
   const TimePoint now = m_context->loop->Now();
-  const AllowanceGrant out = m_ledger.Settle(claim, claimant, now);
+  AllowanceGrant out = m_ledger.Settle(claim, now);
+  m_transfers.Request(claim.team);
+  out.more_expected =
+      out.granted < claim.wanted && m_ledger.AwaitsTransfers(claim.team);
   if (m_context->allowance_marks->Apply(
           {.team = claim.team, .ask_first = out.ask_first, .at = now}, now)) {
     m_context->metrics->CountAllowance(out.ask_first ? "marked" : "unmarked");
@@ -241,7 +244,8 @@
 }
 
 // Requests that did not wait for the reply were decided without it; what was
-// granted to them is given back.
+// granted to them is given back. Requests that got nothing ask again if tokens
+// are on their way, until they have waited for as long as they may.
 void AllowanceExchange::Settle(SentClaim& sent, const AllowanceGrant& grant) {
   m_gate.OnGrant(sent.claim, grant);
   uint32_t granted = std::min(grant.granted, sent.claim.wanted);
@@ -249,10 +253,17 @@
     const bool admitted = granted > 0;
     if (admitted)
       --granted;
-    if (m_held.contains(waiter.id))
+    if (!m_held.contains(waiter.id)) {
+      if (admitted)
+        Return(sent.source.team, sent.source.version);
+    } else if (admitted || !grant.more_expected) {
       Resolve(sent.source.team, std::move(waiter), admitted);
-    else if (admitted)
-      Return(sent.source.team, sent.source.version);
+    } else {
+      m_context->metrics->CountAllowance("asked_again");
+      PendingOf(sent.source.team, sent.source.version)
+          .waiters.push_back(std::move(waiter));
+      FlushSoon(kAllowanceReportDelay);
+    }
   }
 }
 
@@ -276,8 +287,7 @@
   const TeamPtr team = found->second.team;
   m_held.erase(found);
   m_context->metrics->CountAllowance("owner_late");
-  const bool admitted = m_gate.DecideAlone(*team, m_context->loop->Now()) ==
-                        AllowanceDecision::kAdmit;
+  const bool admitted = m_gate.AdmitAlone(*team, m_context->loop->Now());
   // The waiter is in a queue or in a call, from which its callback is taken.
   const auto take = [id](std::deque<Waiter>& waiters) -> Done {
     const auto at =
@@ -301,10 +311,11 @@
 
 std::string AllowanceExchange::OnCall(std::string_view target,
                                       std::string_view body) {
-  const InstanceId claimant(std::string(target.substr(kTarget.size())));
+  if (IsAllowanceTransferCall(target))
+    return m_transfers.OnCall(body);
   std::vector<AllowanceGrant> grants;
   for (const AllowanceClaim& claim : DecodeClaims(body))
-    grants.push_back(SettleHere(claim, claimant));
+    grants.push_back(SettleHere(claim));
   return EncodeGrants(grants);
 }
 
--- a/src/gateway/allowance/allowance_exchange.h
+++ b/src/gateway/allowance/allowance_exchange.h
@@ -16,6 +16,7 @@
 #include "gateway/allowance/allowance_gate.h"
 #include "gateway/allowance/allowance_ledger.h"
 #include "gateway/allowance/allowance_owners.h"
+#include "gateway/allowance/allowance_transfers.h"
 #include "gateway/gateway_context.h"
 #include "gateway/store_client.h"
 
@@ -28,7 +29,8 @@
 };
 
 // Admits requests of teams, reports their use to the owners of the teams'
-// ledgers, and keeps the ledgers of the teams that this instance owns. A call
+// ledgers, and keeps the ledgers of the teams whose claims come to this
+// instance, as long as no owner can be reached its own included. A call
 // carries the claims of all teams of one owner; while it is under way, further
 // ones are collected for the next.
 class AllowanceExchange {
@@ -48,8 +50,10 @@
   AllowanceExchange& operator=(const AllowanceExchange&) = delete;
 
   // Instances that can own ledgers, this one included, and the number of
-  // instances that there may be.
-  void SetInstances(std::vector<AllowanceOwner> instances, uint32_t count);
+  // instances that there may be. `knows_self`: see AllowanceOwners::SetFleet().
+  void SetInstances(std::vector<AllowanceOwner> instances,
+                    uint32_t count,
+                    bool knows_self);
 
   Admission Admit(const TeamPtr& team, ConfigVersion version, Done done);
   void Cancel(WaitId wait);
@@ -99,8 +103,7 @@
   void OnReply(const std::string& address,
                const std::optional<StoreReply>& reply);
   // Settles a claim with a ledger of this instance.
-  AllowanceGrant SettleHere(const AllowanceClaim& claim,
-                            const InstanceId& claimant);
+  AllowanceGrant SettleHere(const AllowanceClaim& claim);
   void Settle(SentClaim& sent, const AllowanceGrant& grant);
   void TakeBack(SentClaim& sent);
   void OnHeldTooLong(WaitId id);
@@ -108,9 +111,10 @@
   AllowanceVerdict Verdict(const Team& team, bool admitted);
 
   GatewayContext* const m_context;
+  AllowanceOwners m_owners;
   AllowanceLedger m_ledger;
+  AllowanceTransfers m_transfers;
   AllowanceGate m_gate;
-  AllowanceOwners m_owners;
   std::function<void()> m_news_hook;
   std::map<TeamKey, Pending> m_pending;
   std::map<std::string, Peer> m_peers;
--- a/src/gateway/allowance/allowance_gate.cc
+++ b/src/gateway/allowance/allowance_gate.cc
@@ -2,21 +2,13 @@
 
 #include <algorithm>
 
-namespace wasabihook::gateway {
-namespace {
-
-constexpr double kMicrosecondsPerSecond = 1e6;
+#include "gateway/allowance/allowance_tolerance.h"
 
-}  // namespace
-
-AllowanceDecision AllowanceGate::Decide(const Team& team,
-                                        bool owner_reachable,
-                                        TimePoint now) {
+namespace wasabihook::gateway {
+AllowanceDecision AllowanceGate::Decide(const Team& team) {
   if (!team.allowance.limited())
     return AllowanceDecision::kAdmit;
   State& state = m_states[team.key];
-  if (!owner_reachable)
-    return DecideAlone(team, now);
   if (state.ask_first ||
       state.used + state.unconfirmed >= kMaxUnconfirmedAdmissions)
     return AllowanceDecision::kAsk;
@@ -24,33 +16,26 @@
   return AllowanceDecision::kAdmit;
 }
 
-// An instance that has seen nothing of the team has an equal share.
-double AllowanceGate::ShareOf(const State& state) const {
-  return std::max(state.share, 1.0 / std::max<uint32_t>(m_instances, 1));
-}
-
-// The shares of the instances are mostly parts of one request, so a part is
+// The parts of the instances are mostly parts of one request, so a part is
 // admitted with its probability.
-AllowanceDecision AllowanceGate::DecideAlone(const Team& team, TimePoint now) {
+bool AllowanceGate::AdmitAlone(const Team& team, TimePoint now) {
   State& state = m_states[team.key];
-  const double share = ShareOf(state);
-  const double capacity = share * kAllowanceFallbackShare *
-                          (team.allowance.burst + m_bounds->allowance_slack);
+  const double capacity = kAllowanceAloneShare *
+                          AllowanceTolerance(team.allowance, *m_bounds) /
+                          std::max<uint32_t>(m_instances, 1);
   double tokens = capacity;
   if (state.tokens) {
-    const double elapsed =
+    const double windows =
         static_cast<double>((now - state.filled_at).count()) /
-        kMicrosecondsPerSecond;
-    tokens = std::min(capacity, *state.tokens + share * team.allowance.rate *
-                                                    std::max(elapsed, 0.0));
+        static_cast<double>(m_bounds->allowance_window.count());
+    tokens =
+        std::min(capacity, *state.tokens + capacity * std::max(windows, 0.0));
   }
   const bool admitted = tokens >= 1 || m_uniform() < tokens;
   state.tokens = admitted ? tokens - 1 : tokens;
   state.filled_at = now;
-  if (!admitted)
-    return AllowanceDecision::kReject;
-  ++state.used;
-  return AllowanceDecision::kAdmit;
+  state.used += admitted ? 1 : 0;
+  return admitted;
 }
 
 void AllowanceGate::Return(const Team& team) {
@@ -84,7 +69,6 @@
   State& state = m_states[claim.team];
   state.unconfirmed -= std::min(state.unconfirmed, claim.used);
   state.ask_first = grant.ask_first;
-  state.share = std::clamp(grant.share, 0.0, 1.0);
   state.wait = grant.wait;
   state.spread = grant.spread;
 }
@@ -93,7 +77,6 @@
   State& state = m_states[claim.team];
   state.unconfirmed -= std::min(state.unconfirmed, claim.used);
   state.used += claim.used;
-  state.returned += claim.returned;
 }
 
 void AllowanceGate::Sweep() {
--- a/src/gateway/allowance/allowance_gate.h
+++ b/src/gateway/allowance/allowance_gate.h
@@ -16,34 +16,29 @@
 enum class AllowanceDecision : uint8_t {
   kAdmit,
   kAsk,  // The owner of the team's ledger decides.
-  kReject,
 };
 
 // Decides at one instance whether a request of a team is within its allowance.
 //
 // While the owner of the team's ledger has seen enough left, requests are
 // admitted at once and reported afterwards. Otherwise the owner is asked first.
-// While no owner can be reached, the instance has the share of the allowance
-// that it used last; the shares of all instances together stay within the
-// allowance and its tolerance.
+// Requests that wait for it in vain are rejected, but for a part of the
+// tolerance that is divided among all instances: others may be given the whole
+// rate meanwhile.
 class AllowanceGate {
  public:
   // `uniform` returns random numbers in [0, 1).
   AllowanceGate(const ServiceBounds* bounds, std::function<double()> uniform)
       : m_bounds(bounds), m_uniform(std::move(uniform)) {}
 
-  // Number of instances among which the reserve for unreachable owners is
-  // divided.
+  // Number of instances among which the part of the tolerance is divided.
   void SetInstances(uint32_t instances) { m_instances = instances; }
 
   // Decides on one request. If it is admitted, its use is reported with the
-  // next claim. `owner_reachable`: some instance keeps the ledger of the team
-  // as far as known.
-  AllowanceDecision Decide(const Team& team,
-                           bool owner_reachable,
-                           TimePoint now);
-  // Decides without the owner on a request that waited for it in vain.
-  AllowanceDecision DecideAlone(const Team& team, TimePoint now);
+  // next claim.
+  AllowanceDecision Decide(const Team& team);
+  // Returns true if a request that waited for the owner in vain is admitted.
+  bool AdmitAlone(const Team& team, TimePoint now);
   // An admitted request has ended and no server has run it.
   void Return(const Team& team);
 
@@ -58,7 +53,8 @@
   void SetAskFirst(TeamKey team, bool ask_first) {
     m_states[team].ask_first = ask_first;
   }
-  // The owner may not have received the claim; the next one gets it.
+  // The owner may not have received the claim. The next one gets what was used;
+  // what was returned is lost, as it must not be credited twice.
   void OnClaimLost(const AllowanceClaim& claim);
 
   // Forgets teams with nothing to report if there are very many. Called
@@ -75,16 +71,13 @@
     uint32_t returned = 0;
     // Admitted requests in claims that are under way.
     uint32_t unconfirmed = 0;
-    double share = 0;
     Duration wait{0};
     Duration spread{0};
-    // Bucket for decisions without the owner; full until the first one.
+    // Bucket for decisions without the owner; full until the first of them.
     std::optional<double> tokens;
     TimePoint filled_at;
   };
 
-  double ShareOf(const State& state) const;
-
   const ServiceBounds* const m_bounds;
   const std::function<double()> m_uniform;
   uint32_t m_instances = 1;
--- a/src/gateway/allowance/allowance_message.cc
+++ b/src/gateway/allowance/allowance_message.cc
@@ -10,6 +10,9 @@
 
 using nlohmann::json;
 
+// Above what a ledger of the largest allowance holds.
+constexpr double kMaxTokens = 100 * kMaxAllowance;
+
 std::string Pack(const json& list) {
   std::string out;
   json::to_msgpack(list, out);
@@ -63,7 +66,8 @@
   json out = json::array();
   for (const AllowanceGrant& grant : grants)
     out.push_back({grant.team.value(), grant.granted, grant.ask_first,
-                   grant.wait.count(), grant.spread.count(), grant.share});
+                   grant.more_expected, grant.wait.count(),
+                   grant.spread.count()});
   return Pack(out);
 }
 
@@ -73,9 +77,47 @@
     out.push_back({.team = TeamKey(item.at(0).get<uint64_t>()),
                    .granted = item.at(1).get<uint32_t>(),
                    .ask_first = item.at(2).get<bool>(),
-                   .wait = Micros(item.at(3)),
-                   .spread = Micros(item.at(4)),
-                   .share = Amount(item.at(5), 1)});
+                   .more_expected = item.at(3).get<bool>(),
+                   .wait = Micros(item.at(4)),
+                   .spread = Micros(item.at(5))});
+  return out;
+}
+
+std::string EncodeTransfers(const std::vector<AllowanceTransfer>& transfers) {
+  json out = json::array();
+  for (const AllowanceTransfer& transfer : transfers)
+    out.push_back({transfer.team.value(), transfer.allowance.rate,
+                   transfer.allowance.burst, transfer.version.value(),
+                   transfer.wanted});
+  return Pack(out);
+}
+
+std::vector<AllowanceTransfer> DecodeTransfers(std::string_view text) {
+  std::vector<AllowanceTransfer> out;
+  for (const json& item : Unpack(text))
+    out.push_back({.team = TeamKey(item.at(0).get<uint64_t>()),
+                   .allowance = {.rate = Amount(item.at(1), kMaxAllowance),
+                                 .burst = Amount(item.at(2), kMaxAllowance)},
+                   .version = ConfigVersion(item.at(3).get<uint64_t>()),
+                   .wanted = Amount(item.at(4), kMaxTokens)});
+  return out;
+}
+
+std::string EncodeTransferReplies(
+    const std::vector<AllowanceTransferReply>& replies) {
+  json out = json::array();
+  for (const AllowanceTransferReply& reply : replies)
+    out.push_back({reply.team.value(), reply.given, reply.left});
+  return Pack(out);
+}
+
+std::vector<AllowanceTransferReply> DecodeTransferReplies(
+    std::string_view text) {
+  std::vector<AllowanceTransferReply> out;
+  for (const json& item : Unpack(text))
+    out.push_back({.team = TeamKey(item.at(0).get<uint64_t>()),
+                   .given = Amount(item.at(1), kMaxTokens),
+                   .left = Amount(item.at(2), kMaxTokens)});
   return out;
 }
 
--- a/src/gateway/allowance/allowance_message.h
+++ b/src/gateway/allowance/allowance_message.h
@@ -17,6 +17,12 @@
 std::vector<AllowanceClaim> DecodeClaims(std::string_view text);
 std::string EncodeGrants(const std::vector<AllowanceGrant>& grants);
 std::vector<AllowanceGrant> DecodeGrants(std::string_view text);
+std::string EncodeTransfers(const std::vector<AllowanceTransfer>& transfers);
+std::vector<AllowanceTransfer> DecodeTransfers(std::string_view text);
+std::string EncodeTransferReplies(
+    const std::vector<AllowanceTransferReply>& replies);
+std::vector<AllowanceTransferReply> DecodeTransferReplies(
+    std::string_view text);
 
 }  // namespace wasabihook::gateway
 
--- a/src/gateway/fleet_size.cc
+++ b/src/gateway/fleet_size.cc
@@ -9,6 +9,16 @@
 void FleetSize::OnRegistering(TimePoint now, bool replaces_entry) {
   m_registering_since = now;
   m_known = replaces_entry;
+  m_replaces_entry = replaces_entry;
+}
+
+void FleetSize::OnListed(TimePoint now) {
+  if (!m_listed_since)
+    m_listed_since = now;
+}
+
+bool FleetSize::IsListedFor(Duration time, TimePoint now) const {
+  return m_replaces_entry || (m_listed_since && now - *m_listed_since >= time);
 }
 
 void FleetSize::OnStoreContact(TimePoint now) {
--- a/src/gateway/fleet_size.h
+++ b/src/gateway/fleet_size.h
@@ -21,6 +21,12 @@
   // The store answered, or an instance that is in contact with it.
   void OnStoreContact(TimePoint now);
 
+  // The registry lists this instance.
+  void OnListed(TimePoint now);
+  // True if the registry has listed this instance for at least `time`, or did
+  // so before the process started.
+  bool IsListedFor(Duration time, TimePoint now) const;
+
   // True once the store was read long enough after the registration for all
   // that started together to be listed. It stays so: what is missed after that
   // are instances that are added.
@@ -30,6 +36,8 @@
 
  private:
   std::optional<TimePoint> m_registering_since;
+  std::optional<TimePoint> m_listed_since;
+  bool m_replaces_entry = false;
   bool m_known = false;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -203,6 +203,8 @@
     m_leaving_servers.Sweep(m_loop->Now());
     m_allowance_marks.Sweep(m_loop->Now());
     m_evacuations.Sweep(m_loop->Now());
+    if (m_has_listing)
+      UpdateAllowanceOwners(m_allowance_estimate);
     m_allowances.Sweep();
   });
 }
@@ -636,9 +638,15 @@
 }
 
 void Gateway::UpdateAllowanceOwners(uint32_t estimate) {
+  if (m_feed_selector.Has(m_settings.instance))
+    m_fleet_size.OnListed(m_loop->Now());
+  const bool may_hold_portions =
+      m_fleet_size.IsListedFor(kAllowancePortionHandover, m_loop->Now());
   if (m_owners_generation == m_feed_selector.generation() &&
-      m_allowance_estimate == estimate)
+      m_allowance_estimate == estimate &&
+      m_may_hold_portions == may_hold_portions)
     return;
+  m_may_hold_portions = may_hold_portions;
   m_owners_generation = m_feed_selector.generation();
   m_allowance_estimate = estimate;
   std::vector<AllowanceOwner> owners;
@@ -649,7 +657,7 @@
   if (m_change_feed != nullptr)
     owners.push_back(
         {.id = m_settings.instance, .address = m_change_feed->address()});
-  m_allowances.SetInstances(std::move(owners), estimate);
+  m_allowances.SetInstances(std::move(owners), estimate, may_hold_portions);
 }
 
 void Gateway::OnStoreContact() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -136,6 +136,7 @@
   AllowanceExchange m_allowances;
   std::optional<uint64_t> m_owners_generation;
   uint32_t m_allowance_estimate = 0;
+  bool m_may_hold_portions = false;
   std::unordered_map<AllowanceExchange::WaitId, HeldRequest> m_held_requests;
   RouteTableBuilder m_route_table_builder;
   RouteTablePtr m_routes;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -410,28 +410,38 @@
 inline constexpr size_t kMaxApiKeys = 32'768;
 // Largest rate and burst of a team; above what the largest fleet serves.
 inline constexpr double kMaxAllowance = 1e9;
-// Share of the tolerance of an allowance that its ledger gives out, since
-// requests reach the ledger and the servers at different times. The rest covers
-// what is admitted without the ledger, or by two of them.
+// Share of the tolerance of an allowance that its ledgers give out, since
+// requests reach a ledger and the servers at different times. The rest covers
+// what is admitted without a ledger, and what ledgers without a past give out.
 inline constexpr double kAllowanceToleranceShare = 0.35;
-// Requests that a ledger without a past gives out at once: at least this many,
-// and at least this share of its capacity.
+// Requests that the ledgers of all portions give out at once if they have no
+// past: at least this many, and at least this share of the capacity.
 inline constexpr double kFreshLedgerTokens = 2;
 inline constexpr double kFreshLedgerShare = 0.3;
 // Instances ask a ledger first from when it falls below the first share of its
 // capacity until it is above the second one.
 inline constexpr double kAllowanceLowWaterShare = 0.5;
 inline constexpr double kAllowanceHighWaterShare = 0.8;
-// Share of the burst and of the slack that all instances together have without
-// a ledger.
-inline constexpr double kAllowanceFallbackShare = 0.3;
+// Share of the tolerance that all instances together may admit in a window
+// without asking a ledger that does not answer.
+inline constexpr double kAllowanceAloneShare = 0.1;
 // Admitted requests of a team that an instance has not reported, after which it
 // asks first.
 inline constexpr uint32_t kMaxUnconfirmedAdmissions = 3;
-// Recent requests of a team from which the shares of the instances are taken,
-// and the smallest part of a request that counts there.
-inline constexpr double kAllowanceUseMemory = 50;
-inline constexpr double kMinAllowanceUse = 0.01;
+// Largest number of portions of an allowance, each at another instance. The
+// loss of an instance takes one of them; more portions cost more calls.
+inline constexpr size_t kAllowancePortions = 8;
+// Time for which an instance that joins the fleet has no portion: so long
+// another one may not have learned that the portion is no longer its own.
+inline constexpr Duration kAllowancePortionHandover = seconds(10);
+// Time between transfers of tokens to a ledger that runs short, and the least
+// number of tokens for which the others are asked.
+inline constexpr Duration kAllowanceTransferPeriod = milliseconds(200);
+inline constexpr double kMinAllowanceTransfer = 1;
+// Share of its tokens that a ledger hands over while it grants requests itself.
+inline constexpr double kAllowanceGivenShare = 0.5;
+// Time after which an unused connection for transfers is closed.
+inline constexpr Duration kAllowanceConnectionExpiry = seconds(10);
 // Longest wait that Retry-After states for an allowance, in seconds, and the
 // shortest time over which returning callers are spread.
 inline constexpr double kMaxAllowanceWait = 5;
--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -55,7 +55,7 @@
   const ServiceBounds bounds;
   AllowanceLedger ledger(&bounds);
   const AllowanceGrant grant =
-      ledger.Settle(Claim(MakeTeam(), 0, 1000), InstanceId("i"), At({}));
+      ledger.Settle(Claim(MakeTeam(), 0, 1000), At({}));
   EXPECT_GE(grant.granted, 2U);
   EXPECT_LT(grant.granted, kBurst);
   EXPECT_TRUE(grant.ask_first);
@@ -66,10 +66,9 @@
   const ServiceBounds bounds;
   AllowanceLedger ledger(&bounds);
   const Team team = MakeTeam();
-  const InstanceId id("i");
-  ledger.Settle(Claim(team, 40, 0), id, At({}));
-  EXPECT_EQ(ledger.Settle(Claim(team, 0, 1), id, At(seconds(1))).granted, 0U);
-  EXPECT_EQ(ledger.Settle(Claim(team, 0, 1), id, At(seconds(3))).granted, 1U);
+  ledger.Settle(Claim(team, 40, 0), At({}));
+  EXPECT_EQ(ledger.Settle(Claim(team, 0, 1), At(seconds(1))).granted, 0U);
+  EXPECT_EQ(ledger.Settle(Claim(team, 0, 1), At(seconds(3))).granted, 1U);
 }
 
 // Guards against requests that no server has run and that still count.
@@ -77,11 +76,10 @@
   const ServiceBounds bounds;
   AllowanceLedger ledger(&bounds);
   const Team team = MakeTeam();
-  const InstanceId id("i");
-  ledger.Settle(Claim(team, 40, 0), id, At({}));
+  ledger.Settle(Claim(team, 40, 0), At({}));
   AllowanceClaim claim = Claim(team, 0, 5);
   claim.returned = 40;
-  EXPECT_EQ(ledger.Settle(claim, id, At({})).granted, 5U);
+  EXPECT_EQ(ledger.Settle(claim, At({})).granted, 5U);
 }
 
 // Guards against an instance with an older configuration that raises a lowered
@@ -89,15 +87,14 @@
 TEST(AllowanceLedger, TheNewestConfigurationHolds) {
   const ServiceBounds bounds;
   AllowanceLedger ledger(&bounds);
-  const InstanceId id("i");
   AllowanceClaim lowered = Claim(MakeTeam(1, 1), 0, 0);
   lowered.version = ConfigVersion(2);
-  ledger.Settle(Claim(MakeTeam(), 0, 0), id, At({}));
-  ledger.Settle(lowered, id, At({}));
+  ledger.Settle(Claim(MakeTeam(), 0, 0), At({}));
+  ledger.Settle(lowered, At({}));
   uint32_t granted = 0;
   for (int i = 0; i < 50; ++i)
     granted +=
-        ledger.Settle(Claim(MakeTeam(), 0, 10), id, At(milliseconds(100) * i))
+        ledger.Settle(Claim(MakeTeam(), 0, 10), At(milliseconds(100) * i))
             .granted;
   EXPECT_LE(granted, 1 + 1 * 5 + bounds.allowance_slack);
 }
@@ -105,7 +102,7 @@
 TEST(AllowanceLedger, ForgetsTeamsWithoutClaims) {
   const ServiceBounds bounds;
   AllowanceLedger ledger(&bounds);
-  ledger.Settle(Claim(MakeTeam(), 1, 0), InstanceId("i"), At({}));
+  ledger.Settle(Claim(MakeTeam(), 1, 0), At({}));
   ledger.Sweep(At(kAllowanceAccountExpiry + seconds(1)));
   EXPECT_EQ(ledger.teams(), 0U);
 }
@@ -118,10 +115,19 @@
   const std::vector<AllowanceGrant> grants = {{.team = TeamKey(7),
                                                .granted = 2,
                                                .ask_first = true,
+                                               .more_expected = true,
                                                .wait = milliseconds(50),
-                                               .spread = milliseconds(10),
-                                               .share = 0.25}};
+                                               .spread = milliseconds(10)}};
   EXPECT_EQ(DecodeGrants(EncodeGrants(grants)), grants);
+  const std::vector<AllowanceTransfer> transfers = {
+      {.team = TeamKey(7),
+       .allowance = MakeTeam().allowance,
+       .version = ConfigVersion(3),
+       .wanted = 2.5}};
+  EXPECT_EQ(DecodeTransfers(EncodeTransfers(transfers)), transfers);
+  const std::vector<AllowanceTransferReply> replies = {
+      {.team = TeamKey(7), .given = 1.5, .left = 0.25}};
+  EXPECT_EQ(DecodeTransferReplies(EncodeTransferReplies(replies)), replies);
 }
 
 // Guards against a malformed call that ends the process or is half applied.
@@ -131,6 +137,16 @@
         EncodeClaims({Claim(MakeTeam(-1, 1), 0, 0)}),
         EncodeClaims({Claim(MakeTeam(1e300, 1), 0, 0)})})
     EXPECT_THROW(DecodeClaims(text), std::exception);
+  for (const std::string& text :
+       {std::string(), std::string("\xff\xff"), std::string("\x91\x91\x01"),
+        EncodeTransferReplies({{.team = TeamKey(7), .given = -1}}),
+        EncodeTransferReplies({{.team = TeamKey(7), .left = 1e300}})})
+    EXPECT_THROW(DecodeTransferReplies(text), std::exception);
+  EXPECT_THROW(DecodeTransfers(EncodeTransfers({{.team = TeamKey(7),
+                                                 .allowance = {},
+                                                 .version = {},
+                                                 .wanted = -1}})),
+               std::exception);
 }
 
 // --- Owners ---
@@ -203,7 +219,7 @@
   void Request(size_t instance, TimePoint now) {
     ++m_requests;
     AllowanceGate& gate = *m_gates[instance];
-    switch (gate.Decide(m_team, m_ledger != nullptr, now)) {
+    switch (gate.Decide(m_team)) {
       case AllowanceDecision::kAdmit:
         Run(now);
         Report(instance, 0, now);
@@ -212,8 +228,6 @@
         if (Report(instance, 1, now))
           Run(now);
         break;
-      case AllowanceDecision::kReject:
-        break;
     }
   }
 
@@ -247,11 +261,9 @@
       return false;
     if (m_ledger == nullptr) {
       gate.OnClaimLost(*claim);
-      return wanted > 0 &&
-             gate.DecideAlone(m_team, now) == AllowanceDecision::kAdmit;
+      return wanted > 0 && gate.AdmitAlone(m_team, now);
     }
-    const AllowanceGrant grant = m_ledger->Settle(
-        *claim, InstanceId("i" + std::to_string(instance)), now);
+    const AllowanceGrant grant = m_ledger->Settle(*claim, now);
     gate.OnGrant(*claim, grant);
     return grant.granted > 0;
   }
