--- a/review/standin-3/stage.hpp
+++ b/review/standin-3/stage.hpp
@@ -557,16 +557,19 @@
   std::thread m_platform;
 };
 
-// Raises the number of descriptors of this script as far as allowed.
-inline void NeedDescriptors(rlim_t count) {
+// Raises the number of descriptors of this script and of the process under test
+// as far as allowed. They need those of the machine, and some more.
+inline void NeedDescriptors() {
+  constexpr rlim_t kWanted = 8192;
+  constexpr rlim_t kNeeded = 4500;
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
-  if (limit.rlim_cur != RLIM_INFINITY && limit.rlim_cur < count) {
-    limit.rlim_cur = std::min(limit.rlim_max, count);
+  if (limit.rlim_cur < kWanted) {
+    limit.rlim_cur = std::min(limit.rlim_max, kWanted);
     setrlimit(RLIMIT_NOFILE, &limit);
-    if (limit.rlim_cur < count)
-      CannotRun("too few descriptors are allowed");
   }
+  if (limit.rlim_cur < kNeeded)
+    CannotRun("too few descriptors are allowed");
 }
 
 // A store, four servers of one service, one process of the system, and the
@@ -574,7 +577,7 @@
 class Scene {
  public:
   Scene() {
-    NeedDescriptors(8192);
+    NeedDescriptors();
     const char* folder = std::getenv("FOLDER");
     if (folder == nullptr || access("target/wasabihook-gateway", X_OK) != 0)
       CannotRun("FOLDER is not set or the gateway is not built");
